--- /dev/null
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -0,0 +1,117 @@
+#ifndef HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
+#define HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
+
+#include "hemlockhaven/core/Span.h"
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/front/FrontDesk.h"
+#include "hemlockhaven/leadership/LeaderElection.h"
+#include "hemlockhaven/scheduler/Scheduler.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! What a look led to: a report, or the outcome that explains its absence.
+struct LookResult
+{
+  OrderOutcome outcome = OrderOutcome::Unknown;
+  LookReport report; //!< With Accepted.
+};
+
+//! What a coordinator needs from outside. No hook blocks; answers come later,
+//! from any thread.
+struct CoordinatorHooks
+{
+  std::function<void(const Member&, const Beat&)> sendBeat;
+  //! To another daemon, by its name. What cannot be sent is dropped.
+  std::function<void(std::string_view aMember, const Work&)> sendWork;
+  std::function<void(std::string_view aMember, const WorkAnswer&)> sendAnswer;
+  std::function<void(std::string_view aMember,
+                     std::string_view aWorkId,
+                     std::string_view aReason)>
+    sendCancel;
+  std::function<void(const StartOrder&, std::function<void(OrderReply)>)> start;
+  std::function<void(const StopOrder&, std::function<void(OrderReply)>)> stop;
+  std::function<void(const LookOrder&, std::function<void(LookResult)>)> look;
+  std::function<void(const Decision&)> note;
+};
+
+//! One daemon without sockets: wires election, schedulers and front desk.
+class Coordinator
+{
+public:
+  Coordinator(Member aSelf,
+              const SchedulerPolicy& aPolicy,
+              const ElectionTimes& aTimes,
+              CoordinatorHooks aHooks,
+              Clock aClock,
+              WallClock aWallClock);
+
+  // From callers.
+  //! Hands work in; returns a ticket for CallerLeft.
+  std::uint64_t Accept(Work aWork, AnswerHook aAnswer);
+  void CallerLeft(std::string_view aWorkId, std::uint64_t aTicket);
+  bool Cancel(std::string_view aWorkId);
+  bool Knows(std::string_view aWorkId) const { return desk_.Knows(aWorkId); }
+
+  // From other daemons.
+  void Meet(const Member& aMember) { election_.Meet(aMember); }
+  void HeardBeat(const Beat& aBeat);
+  void LinkLost(std::string_view aMember);
+  void HeardWork(std::string_view aFront, Work aWork);
+  void HeardAnswer(std::string_view aLeader, const WorkAnswer& aAnswer);
+  void HeardCancel(std::string_view aFront,
+                   std::string_view aWorkId,
+                   std::string_view aReason);
+
+  // From the platform.
+  void SetEndpoints(Span<const ListedEndpoint> aEndpoints);
+
+  //! Whether this daemon may lead; false with a reason while it knows no
+  //! endpoints, is too slow, or stops.
+  void SetCanLead(bool aCanLead, std::string_view aReason);
+  //! Gives up leading for good.
+  void Leave();
+
+  //! To be called every few tens of milliseconds.
+  void Tick();
+
+  //! Whether work that comes in now can be handed to a leader.
+  bool CanServe() const { return !election_.Leader().empty(); }
+  std::string Leader() const { return election_.Leader(); }
+  bool IsLeading() const { return election_.IsLeading(); }
+  std::size_t Waiting() const { return desk_.Waiting(); }
+  SchedulerLoad Load() const;
+
+private:
+  std::shared_ptr<Scheduler> SchedulerOf(const std::string& aService);
+  std::vector<std::shared_ptr<Scheduler>> Schedulers() const;
+  void Apply(Scheduler& aScheduler, SchedulerEffects aEffects);
+  void Apply(FrontEffects aEffects);
+  void Apply(const ElectionEffects& aEffects);
+  void Note(std::string_view aStep,
+            std::string_view aOutcome,
+            std::string_view aDetail) const;
+
+  const std::string name_;
+  const SchedulerPolicy policy_;
+  CoordinatorHooks hooks_;
+  Clock clock_;
+  LeaderElection election_;
+  FrontDesk desk_;
+  mutable std::mutex schedulersMutex_;
+  std::map<std::string, std::shared_ptr<Scheduler>>
+    schedulers_;            //!< By service.
+  std::uint64_t token_ = 0; //!< Under schedulersMutex_; 0: not leading.
+};
+
+}
+
+#endif
--- a/include/hemlockhaven/core/Time.h
+++ b/include/hemlockhaven/core/Time.h
@@ -23,6 +23,10 @@
 //! The process's steady clock.
 TimePoint SteadyNow();
 
+//! A steady clock that also counts while the VM is suspended, for leases and
+//! timeouts that others go by.
+TimePoint SuspendAwareNow();
+
 //! The process's wall clock in milliseconds since the Unix epoch.
 std::int64_t WallNowMs();
 
--- /dev/null
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -0,0 +1,145 @@
+#ifndef HEMLOCKHAVEN_FRONT_FRONTDESK_H
+#define HEMLOCKHAVEN_FRONT_FRONTDESK_H
+
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/Effects.h"
+#include "hemlockhaven/scheduler/Work.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! What a waiting caller is told.
+enum class CallerOutcome : std::uint8_t
+{
+  Completed,
+  Failed,      //!< Ended without success for good.
+  Overloaded,  //!< Refused, nothing ran; there is too much work.
+  Unavailable, //!< Refused, nothing ran; nobody can take it now.
+  Cancelled,
+  TimedOut, //!< May have run in part; stopped.
+};
+
+//! The final answer to one caller.
+struct CallerAnswer
+{
+  CallerOutcome outcome = CallerOutcome::Unavailable;
+  std::string reason;
+  Duration retryAfter{ 0 };
+};
+
+//! Receives the answer, once, outside of any lock.
+using AnswerHook = std::function<void(const CallerAnswer&)>;
+
+//! Work that has to be handed to a leader, or taken back from it.
+struct FrontEffects
+{
+  struct Submission
+  {
+    std::string leader;
+    Work work;
+  };
+  struct Cancellation
+  {
+    std::string leader;
+    std::string workId;
+    std::string reason;
+  };
+  std::vector<Submission> submissions;
+  std::vector<Cancellation> cancellations;
+  std::vector<std::pair<AnswerHook, CallerAnswer>> answers;
+  std::vector<Decision> decisions;
+};
+
+//! The work whose callers wait at this daemon: hands it to the present leader,
+//! hands it on when the leader changes, and answers each caller once. A waiting
+//! caller holds an entry and no thread. Entries are kept in shards, each under
+//! its own lock.
+class FrontDesk
+{
+public:
+  //! Work that was never handed to a leader waits so long for one.
+  static constexpr Duration kLeaderPatience{ 400000 };
+  //! Handed-in work waits so long for the next leader: two elections.
+  static constexpr Duration kNextLeaderPatience{ 2500000 };
+  //! Callers that may wait at once; about 6 kB each.
+  static constexpr std::size_t kMostWaiting = 4000;
+
+  explicit FrontDesk(Clock aClock);
+
+  //! Takes the work of a caller. aAnswer is called once. aTicket, unless 0, is
+  //! for CallerLeft.
+  FrontEffects Accept(Work aWork, AnswerHook aAnswer, std::uint64_t& aTicket);
+
+  //! The caller left: its work is stopped. Nothing is answered.
+  FrontEffects CallerLeft(std::string_view aWorkId, std::uint64_t aTicket);
+
+  //! Somebody asked to cancel the work. False if it is not known here.
+  bool Cancel(std::string_view aWorkId, FrontEffects& aEffects);
+
+  //! The leader's answer.
+  FrontEffects Answered(const WorkAnswer& aAnswer, std::string_view aLeader);
+
+  //! Another leader, or none if empty.
+  FrontEffects LeaderChanged(std::string_view aLeader);
+
+  FrontEffects Tick();
+
+  //! Whether a caller of this work waits here.
+  bool Knows(std::string_view aWorkId) const;
+
+  std::size_t Waiting() const;
+
+private:
+  struct Entry
+  {
+    Work work;
+    AnswerHook answer;
+    TimePoint acceptedAt{};
+    TimePoint deadline{};
+    TimePoint unassignedSince{};
+    std::string leader;    //!< It was handed to last; empty: to none yet.
+    bool assigned = false; //!< The leader has not given it back.
+    std::uint64_t ticket = 0;
+  };
+
+  struct Shard
+  {
+    mutable std::mutex mutex;
+    std::unordered_map<std::string, Entry> entries;
+  };
+
+  static constexpr std::size_t kShards = 8;
+
+  Shard& ShardOf(std::string_view aWorkId);
+  const Shard& ShardOf(std::string_view aWorkId) const;
+  void HandIn(Entry& aEntry,
+              std::string_view aLeader,
+              TimePoint aNow,
+              FrontEffects& aEffects);
+  static void Finish(Shard& aShard,
+                     const std::string& aWorkId,
+                     CallerAnswer aAnswer,
+                     FrontEffects& aEffects);
+  std::string PresentLeader() const;
+
+  Clock clock_;
+  std::array<Shard, kShards> shards_;
+  mutable std::mutex leaderMutex_; //!< Never held with a shard's.
+  std::string leader_;
+  std::atomic<std::uint64_t> nextTicket_{ 0 };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/leadership/Beat.h
@@ -0,0 +1,35 @@
+#ifndef HEMLOCKHAVEN_LEADERSHIP_BEAT_H
+#define HEMLOCKHAVEN_LEADERSHIP_BEAT_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! A daemon and where other daemons connect to it.
+struct Member
+{
+  std::string name;
+  std::string address; //!< "IP:port"
+  std::string zone;
+  double cores = 0;
+  std::uint64_t incarnation = 0; //!< Rises with each start of the process.
+};
+
+//! What daemons tell each other at intervals.
+struct Beat
+{
+  Member from;
+  std::uint64_t sequence = 0;
+  std::uint64_t echo = 0;         //!< Highest sequence heard from the receiver.
+  std::uint64_t leaderToken = 0;  //!< Fencing token of its term; 0: no leader.
+  std::uint64_t highestToken = 0; //!< Highest token that it has heard of.
+  bool canLead = false;           //!< Knows endpoints and does not stop.
+  bool leaving = false;
+  std::vector<Member> known; //!< So that members find each other.
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -0,0 +1,137 @@
+#ifndef HEMLOCKHAVEN_LEADERSHIP_LEADERELECTION_H
+#define HEMLOCKHAVEN_LEADERSHIP_LEADERELECTION_H
+
+#include "hemlockhaven/core/Span.h"
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/leadership/Beat.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! Times of an election.
+struct ElectionTimes
+{
+  //! Pause between beats to each member.
+  Duration beat{ 100000 };
+  //! A member that is not heard, or that does not hear us, for so long is
+  //! taken to be lost: five beats.
+  Duration memberTimeout{ 500000 };
+  //! A leader that lost sight of a front ends its work after this. Fronts wait
+  //! longer before they hand work to another leader that may not see its runs.
+  Duration settle{ 150000 };
+  //! Time to find other members after the start.
+  Duration discovery{ 700000 };
+  //! After another leader took its endpoints, a minority stays away for this,
+  //! doubled each time up to eight times.
+  Duration fencedPause{ 2000000 };
+  //! Members that were not seen for so long do not count for a majority.
+  Duration forgetMember{ 30000000 };
+};
+
+//! What changed, in order.
+struct ElectionEffects
+{
+  //! Beats to send, by member.
+  std::vector<std::pair<Member, Beat>> beats;
+  //! This daemon became leader with this fencing token.
+  std::optional<std::uint64_t> lead;
+  //! This daemon must stop leading.
+  std::optional<std::string> yield;
+  //! The leader that this daemon's work goes to changed; empty: none.
+  std::optional<std::string> leader;
+  std::vector<std::string> lost;   //!< Members that are gone.
+  std::vector<std::string> joined; //!< Members that appeared.
+};
+
+//! Chooses one leader among the daemons that reach each other. Two groups that
+//! do not reach each other have a leader each; endpoints obey the one with the
+//! higher fencing token, so that leaders never both start work at one endpoint.
+class LeaderElection
+{
+public:
+  LeaderElection(Member aSelf,
+                 const ElectionTimes& aTimes,
+                 Clock aClock,
+                 WallClock aWallClock);
+
+  //! A daemon that may exist; beats will be sent there.
+  void Meet(const Member& aMember);
+
+  ElectionEffects Heard(const Beat& aBeat);
+
+  //! The connection from this member ended: its process is gone or restarts.
+  ElectionEffects LinkLost(std::string_view aName);
+
+  //! Endpoints follow another leader that this daemon does not see.
+  ElectionEffects Fenced();
+
+  //! Whether this daemon may lead; a leader that may not yields.
+  ElectionEffects SetCanLead(bool aCanLead, std::string_view aReason);
+
+  //! This daemon is stopping.
+  ElectionEffects Leave();
+
+  //! To be called every few tens of milliseconds.
+  ElectionEffects Tick();
+
+  std::string Leader() const;
+  bool IsLeading() const;
+  std::size_t AliveMembers() const;
+
+private:
+  struct Known
+  {
+    Member member;
+    bool heard = false;
+    bool alive = false;
+    bool gone = false; //!< Its link ended; not only silent.
+    TimePoint heardAt{};
+    std::uint64_t heardSequence = 0;
+    Beat last;
+    //! When beats that may still be echoed were sent.
+    std::map<std::uint64_t, TimePoint> sent;
+    TimePoint echoedAt{}; //!< When the last echoed beat was sent.
+    TimePoint beatAt{};
+  };
+
+  bool IsAlive(const Known& aKnown) const;
+  bool HasMajority() const;
+  void Lose(Known& aKnown, ElectionEffects& aEffects);
+  void Elect(ElectionEffects& aEffects);
+  void StepUp(ElectionEffects& aEffects);
+  void StepDown(std::string_view aReason, ElectionEffects& aEffects);
+  void SetLeader(const std::string& aName, ElectionEffects& aEffects);
+  Beat MakeBeat(const Known& aKnown) const;
+  bool IsPreferred() const;
+
+  mutable std::mutex mutex_;
+  Member self_;
+  ElectionTimes times_;
+  Clock clock_;
+  WallClock wallClock_;
+  TimePoint startedAt_;
+  TimePoint now_{};
+  std::map<std::string, Known> members_; //!< By address.
+  std::uint64_t sequence_ = 0;
+  std::uint64_t token_ = 0;
+  std::uint64_t highestToken_ = 0;
+  std::string leader_;
+  TimePoint leaderlessSince_;
+  bool canLead_ = false;
+  bool leaving_ = false;
+  TimePoint awayUntil_{};
+  std::uint32_t timesFenced_ = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/scheduler/Forecast.h
@@ -0,0 +1,64 @@
+#ifndef HEMLOCKHAVEN_SCHEDULER_FORECAST_H
+#define HEMLOCKHAVEN_SCHEDULER_FORECAST_H
+
+#include "hemlockhaven/core/Span.h"
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/Placement.h"
+#include "hemlockhaven/scheduler/Resources.h"
+
+#include <optional>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! Room that becomes free when a run ends.
+struct Release
+{
+  TimePoint at{};
+  Resources what;
+};
+
+//! Plays a queue in order against the expected ends of what runs now, to tell
+//! when a task would end. A value type without side effects: admission asks it
+//! before anything is promised.
+class Forecast
+{
+public:
+  explicit Forecast(TimePoint aNow)
+    : now_(aNow)
+  {
+  }
+
+  //! Adds an endpoint with its free room and the runs that occupy the rest.
+  void AddEndpoint(const Resources& aFree,
+                   double aSpeed,
+                   Span<const Release> aReleases);
+
+  //! Places one task after all that were placed before it; when it would end.
+  //! Nothing if no endpoint is large enough.
+  std::optional<TimePoint> Place(const PlacementDemand& aDemand);
+
+private:
+  struct Endpoint
+  {
+    Resources free;
+    double speed = 1;
+    TimePoint from{};              //!< Earlier starts are not considered.
+    std::vector<Release> releases; //!< Ordered by time.
+  };
+
+  //! The earliest start of the task at the endpoint.
+  std::optional<TimePoint> EarliestStart(const Endpoint& aEndpoint,
+                                         const Resources& aEach) const;
+  static void Reserve(Endpoint& aEndpoint,
+                      TimePoint aStart,
+                      TimePoint aEnd,
+                      const Resources& aEach);
+
+  TimePoint now_;
+  std::vector<Endpoint> endpoints_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/scheduler/Placement.h
@@ -0,0 +1,48 @@
+#ifndef HEMLOCKHAVEN_SCHEDULER_PLACEMENT_H
+#define HEMLOCKHAVEN_SCHEDULER_PLACEMENT_H
+
+#include "hemlockhaven/core/Span.h"
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/Resources.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace hemlockhaven {
+
+//! An endpoint that a task may use.
+struct PlacementCandidate
+{
+  std::size_t id = 0; //!< Given back by ChooseEndpoint.
+  Resources free;
+  double speed = 1;
+  double slowdown = 1; //!< Run time factor for this task, for example data
+                       //!< in another rack.
+};
+
+//! What is to be placed.
+struct PlacementDemand
+{
+  Resources each;
+  Duration work{ 0 }; //!< Predicted run time at speed 1.
+  TimePoint now{};
+  TimePoint latestEnd{}; //!< The answer is in time until then.
+};
+
+//! Predictions are off by about this factor in one run out of six.
+constexpr double kRunTimeMargin = 1.2;
+
+//! Predicted end of the task on the candidate, without margin.
+TimePoint PredictEnd(const PlacementDemand& aDemand,
+                     const PlacementCandidate& aCandidate);
+
+//! The slowest endpoint on which the task still ends in time, the fullest of
+//! equal ones; if there is none, the one on which it ends first. Keeps the
+//! fast endpoints for tasks that need them, and room in one piece.
+std::optional<std::size_t> ChooseEndpoint(
+  Span<const PlacementCandidate> aCandidates,
+  const PlacementDemand& aDemand);
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/scheduler/Resources.h
@@ -0,0 +1,40 @@
+#ifndef HEMLOCKHAVEN_SCHEDULER_RESOURCES_H
+#define HEMLOCKHAVEN_SCHEDULER_RESOURCES_H
+
+#include <cstdint>
+
+namespace hemlockhaven {
+
+//! What a task needs, or what an endpoint has.
+struct Resources
+{
+  std::int64_t cpuMillis = 0; //!< Thousandths of a core.
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+
+  bool FitsInto(const Resources& aRoom) const
+  {
+    return cpuMillis <= aRoom.cpuMillis && memoryMb <= aRoom.memoryMb &&
+           accelerators <= aRoom.accelerators;
+  }
+
+  Resources& operator+=(const Resources& aOther)
+  {
+    cpuMillis += aOther.cpuMillis;
+    memoryMb += aOther.memoryMb;
+    accelerators += aOther.accelerators;
+    return *this;
+  }
+
+  Resources& operator-=(const Resources& aOther)
+  {
+    cpuMillis -= aOther.cpuMillis;
+    memoryMb -= aOther.memoryMb;
+    accelerators -= aOther.accelerators;
+    return *this;
+  }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -0,0 +1,45 @@
+#ifndef HEMLOCKHAVEN_SCHEDULER_SCHEDULERPOLICY_H
+#define HEMLOCKHAVEN_SCHEDULER_SCHEDULERPOLICY_H
+
+#include "hemlockhaven/core/Time.h"
+
+namespace hemlockhaven {
+
+//! Times and limits of a scheduler. The defaults fit tasks of 50 ms to a
+//! second on endpoints within a few milliseconds.
+struct SchedulerPolicy
+{
+  //! Lease of all runs at an endpoint; bounded by what endpoints grant.
+  Duration lease{ 800000 };
+  //! How long a look waits for an end: leaves two more tries to a lease.
+  Duration lookWait{ 250000 };
+  //! A start that arrives later is void: a few round trips and a slow sender.
+  Duration startValidity{ 400000 };
+  //! Without an answer for so long an endpoint gets no starts: a look's wait
+  //! and some round trips.
+  Duration silence{ 450000 };
+  //! Pause before a failed look is tried again.
+  Duration lookPause{ 100000 };
+  //! Runs of unknown work are stopped after this; their fronts hand the work
+  //! in again within a detection time and a round trip.
+  Duration orphanGrace{ 1000000 };
+  //! After taking over, runs at endpoints that do not answer are over after
+  //! this: the old leader gives up lost fronts, and leases lapse.
+  Duration takeoverDoubt{ 1900000 };
+  //! A run is taken to hang after its predicted time times this, ...
+  double hangFactor = 4;
+  //! ... and at least this.
+  Duration hangFloor{ 400000 };
+  //! An answer later than this many times the accepted time is of no use.
+  double lateFactor = 3;
+  //! Time for messages from a run's end to the caller.
+  Duration answerTime{ 8000 };
+  //! Finished work is remembered for repeated submissions.
+  Duration rememberFinished{ 5000000 };
+  //! Least time that a refused caller is told to wait.
+  Duration leastRetryAfter{ 1000000 };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/include/hemlockhaven/scheduler/Work.h
@@ -0,0 +1,65 @@
+#ifndef HEMLOCKHAVEN_SCHEDULER_WORK_H
+#define HEMLOCKHAVEN_SCHEDULER_WORK_H
+
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/Resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hemlockhaven {
+
+//! Names one task of one piece of work.
+struct TaskKey
+{
+  std::string workId;
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;
+
+  friend bool operator==(const TaskKey& aLeft, const TaskKey& aRight)
+  {
+    return aLeft.step == aRight.step && aLeft.index == aRight.index &&
+           aLeft.workId == aRight.workId;
+  }
+};
+
+//! One run of a task; runs of a task are numbered from 1 and rise.
+struct RunKey
+{
+  TaskKey task;
+  std::uint32_t run = 0;
+};
+
+//! Tasks of equal shape that may run in parallel.
+struct WorkStep
+{
+  std::uint32_t count = 0;
+  Resources each;
+  Duration estimate{ 0 };            //!< The caller's guess for one task.
+  std::vector<std::uint32_t> after;  //!< Earlier steps that must be done.
+  std::string requiredLabel;         //!< Empty: any endpoint.
+  std::string preferredRack;         //!< Empty: any rack.
+  std::uint32_t mostPerEndpoint = 0; //!< 0: no limit.
+};
+
+//! A job whose caller waits for its end. Nothing of it is stored.
+struct Work
+{
+  std::string id;
+  std::string service; //!< Which endpoints may run it.
+  std::string kind;    //!< Run times are learned for each kind.
+  std::string payload; //!< Passed to the endpoint as it is.
+  std::vector<WorkStep> steps;
+  std::uint32_t priority = 0;    //!< 0 is the most urgent.
+  std::uint32_t attempts = 1;    //!< Failed runs of a task that end the job.
+  double stretch = 1;            //!< Accepted response time / run time.
+  Duration targetLatency{ 0 };   //!< Added to the stretched run time.
+  Duration age{ 0 };             //!< Time since the caller sent it.
+  Duration patience{ 0 };        //!< The caller waits so much longer.
+  std::uint32_t submissions = 0; //!< Earlier schedulers that had it.
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/coordinator/Coordinator.cpp
@@ -0,0 +1,271 @@
+#include "hemlockhaven/coordinator/Coordinator.h"
+
+#include <utility>
+
+namespace hemlockhaven {
+
+Coordinator::Coordinator(Member aSelf,
+                         const SchedulerPolicy& aPolicy,
+                         const ElectionTimes& aTimes,
+                         CoordinatorHooks aHooks,
+                         Clock aClock,
+                         WallClock aWallClock)
+  : name_(aSelf.name)
+  , policy_(aPolicy)
+  , hooks_(std::move(aHooks))
+  , clock_(aClock)
+  , election_(std::move(aSelf), aTimes, aClock, std::move(aWallClock))
+  , desk_(aClock)
+{
+}
+
+std::shared_ptr<Scheduler> Coordinator::SchedulerOf(const std::string& aService)
+{
+  std::shared_ptr<Scheduler> scheduler;
+  std::uint64_t token = 0;
+  {
+    const std::lock_guard<std::mutex> lock(schedulersMutex_);
+    auto& known = schedulers_[aService];
+    if (known) {
+      return known;
+    }
+    known = std::make_shared<Scheduler>(policy_, clock_);
+    scheduler = known;
+    token = token_;
+  }
+  if (token != 0) {
+    Apply(*scheduler, scheduler->Lead(token));
+  }
+  return scheduler;
+}
+
+std::vector<std::shared_ptr<Scheduler>> Coordinator::Schedulers() const
+{
+  const std::lock_guard<std::mutex> lock(schedulersMutex_);
+  std::vector<std::shared_ptr<Scheduler>> all;
+  all.reserve(schedulers_.size());
+  for (const auto& [service, scheduler] : schedulers_) {
+    all.push_back(scheduler);
+  }
+  return all;
+}
+
+void Coordinator::Note(std::string_view aStep,
+                       std::string_view aOutcome,
+                       std::string_view aDetail) const
+{
+  Decision decision;
+  decision.step = aStep;
+  decision.outcome = aOutcome;
+  decision.detail = aDetail;
+  hooks_.note(decision);
+}
+
+void Coordinator::Apply(Scheduler& aScheduler, SchedulerEffects aEffects)
+{
+  for (const Decision& decision : aEffects.decisions) {
+    hooks_.note(decision);
+  }
+  for (const StopOrder& order : aEffects.stops) {
+    hooks_.stop(order, [this, &aScheduler, order](const OrderReply& aReply) {
+      Apply(aScheduler, aScheduler.StopAnswered(order, aReply));
+    });
+  }
+  for (const StartOrder& order : aEffects.starts) {
+    hooks_.start(order, [this, &aScheduler, order](const OrderReply& aReply) {
+      Apply(aScheduler, aScheduler.StartAnswered(order, aReply));
+    });
+  }
+  for (const LookOrder& order : aEffects.looks) {
+    hooks_.look(order, [this, &aScheduler, order](const LookResult& aResult) {
+      Apply(aScheduler,
+            aResult.outcome == OrderOutcome::Accepted
+              ? aScheduler.Looked(order, aResult.report)
+              : aScheduler.LookFailed(order, aResult.outcome));
+    });
+  }
+  for (const WorkAnswer& answer : aEffects.answers) {
+    if (answer.front == name_) {
+      Apply(desk_.Answered(answer, name_));
+    } else {
+      hooks_.sendAnswer(answer.front, answer);
+    }
+  }
+  if (aEffects.fencedByOther) {
+    Apply(election_.Fenced());
+  }
+}
+
+void Coordinator::Apply(FrontEffects aEffects)
+{
+  for (const Decision& decision : aEffects.decisions) {
+    hooks_.note(decision);
+  }
+  for (const auto& [hook, answer] : aEffects.answers) {
+    if (hook) {
+      hook(answer);
+    }
+  }
+  for (const auto& cancellation : aEffects.cancellations) {
+    if (cancellation.leader == name_) {
+      HeardCancel(name_, cancellation.workId, cancellation.reason);
+    } else {
+      hooks_.sendCancel(
+        cancellation.leader, cancellation.workId, cancellation.reason);
+    }
+  }
+  for (auto& submission : aEffects.submissions) {
+    if (submission.leader == name_) {
+      HeardWork(name_, std::move(submission.work));
+    } else {
+      hooks_.sendWork(submission.leader, submission.work);
+    }
+  }
+}
+
+void Coordinator::Apply(const ElectionEffects& aEffects)
+{
+  for (const std::string& name : aEffects.joined) {
+    Note("member", "joined", name);
+  }
+  for (const std::string& name : aEffects.lost) {
+    Note("member", "lost", name);
+  }
+  if (aEffects.yield) {
+    {
+      const std::lock_guard<std::mutex> lock(schedulersMutex_);
+      token_ = 0;
+    }
+    for (const auto& scheduler : Schedulers()) {
+      Apply(*scheduler, scheduler->Yield(*aEffects.yield));
+    }
+  }
+  if (aEffects.lead) {
+    {
+      const std::lock_guard<std::mutex> lock(schedulersMutex_);
+      token_ = *aEffects.lead;
+    }
+    for (const auto& scheduler : Schedulers()) {
+      Apply(*scheduler, scheduler->Lead(*aEffects.lead));
+    }
+  }
+  for (const std::string& name : aEffects.lost) {
+    for (const auto& scheduler : Schedulers()) {
+      Apply(*scheduler, scheduler->DropFront(name));
+    }
+  }
+  if (aEffects.leader) {
+    Note(
+      "leader", aEffects.leader->empty() ? "none" : "known", *aEffects.leader);
+    Apply(desk_.LeaderChanged(*aEffects.leader));
+  }
+  for (const auto& [member, beat] : aEffects.beats) {
+    hooks_.sendBeat(member, beat);
+  }
+}
+
+std::uint64_t Coordinator::Accept(Work aWork, AnswerHook aAnswer)
+{
+  std::uint64_t ticket = 0;
+  Apply(desk_.Accept(std::move(aWork), std::move(aAnswer), ticket));
+  return ticket;
+}
+
+void Coordinator::CallerLeft(std::string_view aWorkId, std::uint64_t aTicket)
+{
+  Apply(desk_.CallerLeft(aWorkId, aTicket));
+}
+
+bool Coordinator::Cancel(std::string_view aWorkId)
+{
+  FrontEffects effects;
+  const bool known = desk_.Cancel(aWorkId, effects);
+  Apply(std::move(effects));
+  return known;
+}
+
+void Coordinator::HeardBeat(const Beat& aBeat)
+{
+  Apply(election_.Heard(aBeat));
+}
+
+void Coordinator::LinkLost(std::string_view aMember)
+{
+  Apply(election_.LinkLost(aMember));
+}
+
+void Coordinator::HeardWork(std::string_view aFront, Work aWork)
+{
+  const auto scheduler = SchedulerOf(aWork.service);
+  Apply(*scheduler, scheduler->Submit(aFront, std::move(aWork)));
+}
+
+void Coordinator::HeardAnswer(std::string_view aLeader,
+                              const WorkAnswer& aAnswer)
+{
+  Apply(desk_.Answered(aAnswer, aLeader));
+}
+
+void Coordinator::HeardCancel(std::string_view aFront,
+                              std::string_view aWorkId,
+                              std::string_view aReason)
+{
+  for (const auto& scheduler : Schedulers()) {
+    Apply(*scheduler, scheduler->Cancel(aFront, aWorkId, aReason));
+  }
+}
+
+void Coordinator::SetEndpoints(Span<const ListedEndpoint> aEndpoints)
+{
+  std::map<std::string, std::vector<ListedEndpoint>> byService;
+  {
+    const std::lock_guard<std::mutex> lock(schedulersMutex_);
+    for (const auto& [service, scheduler] : schedulers_) {
+      byService[service]; // Its endpoints may all be gone.
+    }
+  }
+  for (const ListedEndpoint& endpoint : aEndpoints) {
+    byService[endpoint.service].push_back(endpoint);
+  }
+  for (const auto& [service, endpoints] : byService) {
+    const auto scheduler = SchedulerOf(service);
+    Apply(*scheduler, scheduler->SetEndpoints(endpoints));
+  }
+}
+
+void Coordinator::SetCanLead(bool aCanLead, std::string_view aReason)
+{
+  Apply(election_.SetCanLead(aCanLead, aReason));
+}
+
+void Coordinator::Leave()
+{
+  Apply(election_.Leave());
+}
+
+void Coordinator::Tick()
+{
+  Apply(election_.Tick());
+  for (const auto& scheduler : Schedulers()) {
+    Apply(*scheduler, scheduler->Tick());
+  }
+  Apply(desk_.Tick());
+}
+
+SchedulerLoad Coordinator::Load() const
+{
+  SchedulerLoad sum;
+  for (const auto& scheduler : Schedulers()) {
+    const SchedulerLoad load = scheduler->Load();
+    sum.works += load.works;
+    sum.waitingWorks += load.waitingWorks;
+    sum.waitingTasks += load.waitingTasks;
+    sum.activeRuns += load.activeRuns;
+    sum.endpoints += load.endpoints;
+    sum.usableEndpoints += load.usableEndpoints;
+    sum.freeCpuMillis += load.freeCpuMillis;
+  }
+  return sum;
+}
+
+}
--- a/src/core/Time.cpp
+++ b/src/core/Time.cpp
@@ -1,5 +1,7 @@
 #include "hemlockhaven/core/Time.h"
 
+#include <ctime>
+
 namespace hemlockhaven {
 
 TimePoint SteadyNow()
@@ -8,6 +10,15 @@
     std::chrono::steady_clock::now());
 }
 
+TimePoint SuspendAwareNow()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr std::int64_t kNanosecondsAMicrosecond = 1000;
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   Duration(now.tv_nsec / kNanosecondsAMicrosecond));
+}
+
 std::int64_t WallNowMs()
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- /dev/null
+++ b/src/leadership/LeaderElection.cpp
@@ -0,0 +1,349 @@
+#include "hemlockhaven/leadership/LeaderElection.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace hemlockhaven {
+
+namespace {
+
+//! Low bits of a token that tell leaders of the same round apart.
+constexpr unsigned kNameBits = 16;
+//! Beats that are remembered until they are echoed.
+constexpr std::size_t kMostUnechoed = 64;
+//! Doublings of the pause after being fenced.
+constexpr std::uint32_t kMostFencedDoublings = 3;
+
+//! Spreads leaders over zones; equal in every process.
+std::uint64_t HashName(std::string_view aName)
+{
+  std::uint64_t hash = 14695981039346656037ULL;
+  for (const char letter : aName) {
+    hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ULL;
+  }
+  return hash ^ (hash >> 32U);
+}
+
+//! Smaller is preferred: the largest daemon, then by hash.
+std::tuple<double, std::uint64_t, std::string> Rank(const Member& aMember)
+{
+  return { -aMember.cores, HashName(aMember.name), aMember.name };
+}
+
+}
+
+LeaderElection::LeaderElection(Member aSelf,
+                               const ElectionTimes& aTimes,
+                               Clock aClock,
+                               WallClock aWallClock)
+  : self_(std::move(aSelf))
+  , times_(aTimes)
+  , clock_(std::move(aClock))
+  , wallClock_(std::move(aWallClock))
+  , startedAt_(clock_())
+  , leaderlessSince_(startedAt_)
+{
+}
+
+void LeaderElection::Meet(const Member& aMember)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (aMember.address != self_.address) {
+    members_[aMember.address].member.address = aMember.address;
+  }
+}
+
+bool LeaderElection::IsAlive(const Known& aKnown) const
+{
+  return aKnown.heard && !aKnown.gone &&
+         now_ - aKnown.heardAt <= times_.memberTimeout &&
+         now_ - aKnown.echoedAt <= times_.memberTimeout;
+}
+
+bool LeaderElection::HasMajority() const
+{
+  std::size_t present = 1;
+  std::size_t all = 1;
+  std::string smallest = self_.name;
+  bool smallestPresent = true;
+  for (const auto& [address, known] : members_) {
+    if (!known.heard || known.gone || known.last.leaving ||
+        now_ - known.heardAt > times_.forgetMember) {
+      continue;
+    }
+    ++all;
+    const bool alive = IsAlive(known);
+    present += alive ? 1 : 0;
+    if (known.member.name < smallest) {
+      smallest = known.member.name;
+      smallestPresent = alive;
+    }
+  }
+  return 2 * present > all || (2 * present == all && smallestPresent);
+}
+
+ElectionEffects LeaderElection::Heard(const Beat& aBeat)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  if (aBeat.from.address == self_.address) {
+    return effects;
+  }
+  Known& known = members_[aBeat.from.address];
+  const bool restarted =
+    known.heard && known.member.incarnation != aBeat.from.incarnation;
+  if (restarted) {
+    if (aBeat.from.incarnation < known.member.incarnation) {
+      return effects; // Of a process that has ended.
+    }
+    Lose(known, effects);
+    known = Known();
+  }
+  known.member = aBeat.from;
+  if (known.heard && !known.gone && aBeat.sequence <= known.heardSequence) {
+    return effects;
+  }
+  known.heard = true;
+  known.gone = false;
+  known.heardAt = now_;
+  known.heardSequence = aBeat.sequence;
+  known.last = aBeat;
+  const auto echoed = known.sent.find(aBeat.echo);
+  if (echoed != known.sent.end()) {
+    known.echoedAt = echoed->second;
+    known.sent.erase(known.sent.begin(), std::next(echoed));
+  }
+  highestToken_ =
+    std::max({ highestToken_, aBeat.highestToken, aBeat.leaderToken });
+  for (const Member& other : aBeat.known) {
+    if (other.address != self_.address) {
+      members_[other.address].member.address = other.address;
+    }
+  }
+  if (!known.alive && IsAlive(known)) {
+    known.alive = true;
+    effects.joined.push_back(known.member.name);
+  }
+  Elect(effects);
+  return effects;
+}
+
+void LeaderElection::Lose(Known& aKnown, ElectionEffects& aEffects)
+{
+  if (aKnown.alive) {
+    aKnown.alive = false;
+    aEffects.lost.push_back(aKnown.member.name);
+  }
+}
+
+ElectionEffects LeaderElection::LinkLost(std::string_view aName)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  for (auto& [address, known] : members_) {
+    if (known.heard && known.member.name == aName) {
+      known.gone = true;
+      Lose(known, effects);
+    }
+  }
+  Elect(effects);
+  return effects;
+}
+
+ElectionEffects LeaderElection::Fenced()
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  if (token_ == 0) {
+    return effects;
+  }
+  if (HasMajority()) {
+    StepUp(effects); // Takes the endpoints back with a higher token.
+    return effects;
+  }
+  awayUntil_ = now_ + times_.fencedPause *
+                        (1U << std::min(timesFenced_, kMostFencedDoublings));
+  ++timesFenced_;
+  StepDown("endpoints follow another leader", effects);
+  return effects;
+}
+
+ElectionEffects LeaderElection::SetCanLead(bool aCanLead,
+                                           std::string_view aReason)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  canLead_ = aCanLead;
+  if (!canLead_ && token_ != 0) {
+    StepDown(aReason, effects);
+  }
+  return effects;
+}
+
+ElectionEffects LeaderElection::Leave()
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  leaving_ = true;
+  canLead_ = false;
+  if (token_ != 0) {
+    StepDown("stopping", effects);
+  }
+  // Others need not wait for the next beat to choose another leader.
+  for (auto& [address, known] : members_) {
+    known.sent[++sequence_] = now_;
+    effects.beats.emplace_back(known.member, MakeBeat(known));
+  }
+  return effects;
+}
+
+Beat LeaderElection::MakeBeat(const Known& aKnown) const
+{
+  Beat beat;
+  beat.from = self_;
+  beat.sequence = sequence_;
+  beat.echo = aKnown.heardSequence;
+  beat.leaderToken = token_;
+  beat.highestToken = highestToken_;
+  beat.canLead = canLead_ && now_ >= awayUntil_;
+  beat.leaving = leaving_;
+  for (const auto& [address, known] : members_) {
+    if (known.alive) {
+      beat.known.push_back(known.member);
+    }
+  }
+  return beat;
+}
+
+bool LeaderElection::IsPreferred() const
+{
+  return std::none_of(
+    members_.begin(), members_.end(), [this](const auto& aPair) {
+      const Known& known = aPair.second;
+      return IsAlive(known) && known.last.canLead && !known.last.leaving &&
+             Rank(known.member) < Rank(self_);
+    });
+}
+
+void LeaderElection::SetLeader(const std::string& aName,
+                               ElectionEffects& aEffects)
+{
+  if (leader_ != aName) {
+    leader_ = aName;
+    aEffects.leader = aName;
+    if (leader_.empty()) {
+      leaderlessSince_ = now_;
+    }
+  }
+}
+
+void LeaderElection::StepUp(ElectionEffects& aEffects)
+{
+  // Seconds since 1970 keep tokens rising when all daemons restart at once.
+  constexpr std::int64_t kMsPerSecond = 1000;
+  const auto round =
+    std::max(static_cast<std::uint64_t>(wallClock_() / kMsPerSecond),
+             (highestToken_ >> kNameBits) + 1);
+  token_ =
+    (round << kNameBits) | (HashName(self_.name) & ((1ULL << kNameBits) - 1));
+  highestToken_ = token_;
+  aEffects.lead = token_;
+  SetLeader(self_.name, aEffects);
+}
+
+void LeaderElection::StepDown(std::string_view aReason,
+                              ElectionEffects& aEffects)
+{
+  token_ = 0;
+  aEffects.yield = std::string(aReason);
+  if (leader_ == self_.name) {
+    SetLeader("", aEffects);
+  }
+}
+
+void LeaderElection::Elect(ElectionEffects& aEffects)
+{
+  const Known* best = nullptr;
+  for (const auto& [address, known] : members_) {
+    if (IsAlive(known) && known.last.leaderToken != 0 &&
+        (best == nullptr || known.last.leaderToken > best->last.leaderToken)) {
+      best = &known;
+    }
+  }
+  if (best != nullptr && best->last.leaderToken > token_) {
+    if (token_ != 0) {
+      StepDown("another leader has a higher token", aEffects);
+    }
+    timesFenced_ = 0;
+    SetLeader(best->member.name, aEffects);
+    return;
+  }
+  if (token_ != 0) {
+    SetLeader(self_.name, aEffects);
+    return;
+  }
+  SetLeader("", aEffects);
+  if (canLead_ && !leaving_ && now_ >= awayUntil_ &&
+      now_ - startedAt_ >= times_.discovery &&
+      now_ - leaderlessSince_ >= times_.settle && IsPreferred()) {
+    StepUp(aEffects);
+  }
+}
+
+ElectionEffects LeaderElection::Tick()
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  for (auto& [address, known] : members_) {
+    if (known.alive && !IsAlive(known)) {
+      Lose(known, effects);
+    } else if (!known.alive && IsAlive(known)) {
+      known.alive = true;
+      effects.joined.push_back(known.member.name);
+    }
+  }
+  Elect(effects);
+  for (auto& [address, known] : members_) {
+    if (now_ - known.beatAt < times_.beat) {
+      continue;
+    }
+    known.beatAt = now_;
+    known.sent[++sequence_] = now_;
+    if (known.sent.size() > kMostUnechoed) {
+      known.sent.erase(known.sent.begin());
+    }
+    effects.beats.emplace_back(known.member, MakeBeat(known));
+  }
+  return effects;
+}
+
+std::string LeaderElection::Leader() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return leader_;
+}
+
+bool LeaderElection::IsLeading() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return token_ != 0;
+}
+
+std::size_t LeaderElection::AliveMembers() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return static_cast<std::size_t>(
+    std::count_if(members_.begin(), members_.end(), [this](const auto& aPair) {
+      return aPair.second.alive;
+    }));
+}
+
+}
--- /dev/null
+++ b/src/link/LinkNetwork.cpp
@@ -0,0 +1,220 @@
+#include "link/LinkNetwork.h"
+
+#include "link/OutgoingLink.h"
+#include "net/SocketOptions.h"
+
+#include <boost/asio/strand.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace hemlockhaven {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+
+struct LinkNetwork::Shared
+{
+  Limits limits;
+  Hooks hooks;
+  std::atomic<bool> stopped{ false };
+  std::mutex mutex;
+  //! Connection on which each daemon sent last, by its name.
+  std::map<std::string, std::uint64_t, std::less<>> latest;
+  std::uint64_t connections = 0;
+};
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+
+std::string MakeFrame(const LinkMessage& aMessage)
+{
+  const std::string body = EncodeLinkMessage(aMessage);
+  const auto length = static_cast<std::uint32_t>(body.size());
+  std::string frame;
+  frame.reserve(kLengthBytes + body.size());
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    frame.push_back(static_cast<char>((length >> shift) & 0xffU));
+  }
+  return frame.append(body);
+}
+
+std::uint32_t ReadLength(const char* aBytes)
+{
+  std::uint32_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length = (length << 8U) | static_cast<unsigned char>(aBytes[i]);
+  }
+  return length;
+}
+
+//! A connection on which another daemon sends.
+class IncomingLink : public std::enable_shared_from_this<IncomingLink>
+{
+public:
+  IncomingLink(net::ip::tcp::socket aSocket,
+               std::shared_ptr<LinkNetwork::Shared> aShared)
+    : socket_(std::move(aSocket))
+    , shared_(std::move(aShared))
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    number_ = ++shared_->connections;
+  }
+
+  void Read()
+  {
+    constexpr std::size_t kReadBytes = 16384;
+    const std::size_t used = bytes_.size();
+    bytes_.resize(used + kReadBytes);
+    socket_.async_read_some(
+      net::buffer(bytes_.data() + used, kReadBytes),
+      [self = shared_from_this(), used](const error_code& aError,
+                                        std::size_t aCount) {
+        self->bytes_.resize(used + aCount);
+        if (aError || self->shared_->stopped || !self->TakeFrames()) {
+          self->End();
+          return;
+        }
+        self->Read();
+      });
+  }
+
+private:
+  //! False if the connection cannot go on.
+  bool TakeFrames()
+  {
+    std::size_t at = 0;
+    while (bytes_.size() - at >= kLengthBytes) {
+      const std::size_t length = ReadLength(bytes_.data() + at);
+      if (length > shared_->limits.frameBytes) {
+        shared_->hooks.malformed(member_);
+        return false;
+      }
+      if (bytes_.size() - at - kLengthBytes < length) {
+        break;
+      }
+      auto message =
+        DecodeLinkMessage({ bytes_.data() + at + kLengthBytes, length });
+      if (!message) {
+        shared_->hooks.malformed(member_);
+        return false;
+      }
+      at += kLengthBytes + length;
+      if (const Beat* beat = std::get_if<Beat>(&*message)) {
+        Introduce(beat->from.name);
+      }
+      // A daemon introduces itself by its first beat.
+      if (!member_.empty()) {
+        shared_->hooks.received(member_, std::move(*message));
+      }
+    }
+    bytes_.erase(bytes_.begin(),
+                 bytes_.begin() + static_cast<std::ptrdiff_t>(at));
+    return true;
+  }
+
+  void Introduce(const std::string& aName)
+  {
+    if (member_ == aName) {
+      return;
+    }
+    member_ = aName;
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    std::uint64_t& latest = shared_->latest[aName];
+    latest = std::max(latest, number_);
+  }
+
+  void End()
+  {
+    error_code ignored; // The connection is given up anyway.
+    socket_.close(ignored);
+    {
+      const std::lock_guard<std::mutex> lock(shared_->mutex);
+      const auto latest = shared_->latest.find(member_);
+      if (latest == shared_->latest.end() || latest->second != number_) {
+        return; // The daemon has sent on a newer connection.
+      }
+      shared_->latest.erase(latest);
+    }
+    if (!shared_->stopped) {
+      shared_->hooks.ended(member_);
+    }
+  }
+
+  net::ip::tcp::socket socket_;
+  std::shared_ptr<LinkNetwork::Shared> shared_;
+  std::uint64_t number_ = 0;
+  std::string member_;
+  std::vector<char> bytes_;
+};
+
+}
+
+LinkNetwork::LinkNetwork(net::io_context& aContext,
+                         const net::ip::tcp::endpoint& aListen,
+                         const Limits& aLimits,
+                         Hooks aHooks)
+  : context_(aContext)
+  , acceptor_(net::make_strand(aContext))
+  , shared_(std::make_shared<Shared>())
+{
+  shared_->limits = aLimits;
+  shared_->hooks = std::move(aHooks);
+  acceptor_.open(aListen.protocol());
+  acceptor_.set_option(net::socket_base::reuse_address(true));
+  acceptor_.bind(aListen);
+  acceptor_.listen();
+  Accept();
+}
+
+LinkNetwork::~LinkNetwork()
+{
+  shared_->stopped = true;
+}
+
+void LinkNetwork::Accept()
+{
+  acceptor_.async_accept(
+    net::make_strand(context_),
+    [this, shared = shared_](const error_code& aError,
+                             net::ip::tcp::socket aSocket) {
+      if (shared->stopped || aError == net::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        SetSocketOptions(aSocket);
+        std::make_shared<IncomingLink>(std::move(aSocket), shared)->Read();
+      }
+      Accept();
+    });
+}
+
+bool LinkNetwork::Send(const std::string& aAddress, const LinkMessage& aMessage)
+{
+  std::shared_ptr<Detail::OutgoingLink> link;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& known = outgoing_[aAddress];
+    if (!known) {
+      known = std::make_shared<Detail::OutgoingLink>(
+        context_, aAddress, shared_->limits);
+    }
+    link = known;
+  }
+  return link->Send(MakeFrame(aMessage));
+}
+
+void LinkNetwork::Reset(const std::string& aAddress)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto found = outgoing_.find(aAddress);
+  if (found != outgoing_.end()) {
+    found->second->Reset();
+  }
+}
+
+}
--- /dev/null
+++ b/src/link/OutgoingLink.h
@@ -0,0 +1,57 @@
+#ifndef HEMLOCKHAVEN_SRC_LINK_OUTGOINGLINK_H
+#define HEMLOCKHAVEN_SRC_LINK_OUTGOINGLINK_H
+
+#include "link/LinkNetwork.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace hemlockhaven::Detail {
+
+//! The connection on which this daemon sends to another. Queues frames while it
+//! connects or writes.
+class OutgoingLink : public std::enable_shared_from_this<OutgoingLink>
+{
+public:
+  OutgoingLink(boost::asio::io_context& aContext,
+               std::string aAddress,
+               const LinkNetwork::Limits& aLimits);
+
+  //! False if the queue is full.
+  bool Send(std::string_view aFrame);
+  void Reset();
+
+private:
+  enum class State : std::uint8_t
+  {
+    Closed,
+    Connecting,
+    Open,
+    Writing,
+  };
+
+  void Advance();
+  void Connect();
+  void Write();
+  void WatchEnd();
+  void Close();
+
+  const std::string address_;
+  const LinkNetwork::Limits limits_;
+  boost::beast::tcp_stream stream_; //!< On a strand with all but queue_.
+  State state_ = State::Closed;
+  TimePoint nextConnectAt_{};
+  std::uint64_t generation_ = 0; //!< Counts connections.
+  std::string writing_;
+  char ignored_ = 0; //!< The other side never sends on this connection.
+  std::mutex mutex_;
+  std::string queue_; //!< Whole frames.
+};
+
+}
+
+#endif
--- a/src/logging/Log.cpp
+++ b/src/logging/Log.cpp
@@ -131,6 +131,11 @@
   static_cast<void>(kStarted);
 }
 
+void Log::SetMostPerSecond(std::uint32_t aLines)
+{
+  Limit().SetMostPerSecond(aLines);
+}
+
 void Log::SetSink(Sink aSink)
 {
   TestSink() = std::move(aSink);
--- a/src/logging/Log.h
+++ b/src/logging/Log.h
@@ -53,11 +53,14 @@
 class Log
 {
 public:
-  //! Lines of one step and message that are written in one second. A failing
-  //! endpoint can produce thousands a second.
+  //! Lines of one step and message that are written in one second, unless
+  //! SetMostPerSecond says otherwise. A failing endpoint can produce thousands.
   static constexpr std::uint32_t kMostPerSecond = 20;
 
-  //! Receives each line, for tests.
+  //! Not while other threads log.
+  static void SetMostPerSecond(std::uint32_t aLines);
+
+  //! Receives each line.
   using Sink = std::function<void(LogLevel, std::string_view aLine)>;
 
   //! Starts glog once. aLevel: "debug", "info", "warning" or "error".
--- /dev/null
+++ b/src/logging/LogQueue.cpp
@@ -0,0 +1,92 @@
+#include "logging/LogQueue.h"
+
+#include <cerrno>
+#include <chrono>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace hemlockhaven {
+
+namespace {
+
+//! Lines are gathered for so long, to write many at once.
+constexpr std::chrono::milliseconds kGather{ 50 };
+//! A reader that takes nothing for so long at the end gets no more.
+constexpr int kLastWriteMs = 200;
+
+}
+
+LogQueue::LogQueue(int aDescriptor)
+  : descriptor_(aDescriptor)
+  , thread_([this] { Run(); })
+{
+}
+
+LogQueue::~LogQueue()
+{
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    stop_ = true;
+  }
+  wake_.notify_all();
+  thread_.join();
+}
+
+void LogQueue::Push(std::string_view aLine)
+{
+  bool first = false;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (waiting_.size() + aLine.size() >= kMostBytes) {
+      ++dropped_;
+      return;
+    }
+    first = waiting_.empty();
+    waiting_.append(aLine).append("\n");
+  }
+  if (first) {
+    wake_.notify_one();
+  }
+}
+
+std::uint64_t LogQueue::Dropped() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return dropped_;
+}
+
+void LogQueue::Run()
+{
+  std::string lines;
+  bool stop = false;
+  while (!stop) {
+    {
+      std::unique_lock<std::mutex> lock(mutex_);
+      wake_.wait(lock, [this] { return stop_ || !waiting_.empty(); });
+      wake_.wait_for(lock, kGather, [this] { return stop_; });
+      lines.clear();
+      lines.swap(waiting_);
+      stop = stop_;
+    }
+    std::size_t at = 0;
+    while (at < lines.size()) {
+      pollfd ready{ descriptor_, POLLOUT, 0 };
+      if (::poll(&ready, 1, kLastWriteMs) == 0) {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (stop_) {
+          return;
+        }
+        continue;
+      }
+      const auto written =
+        ::write(descriptor_, lines.data() + at, lines.size() - at);
+      if (written < 0 && errno != EINTR && errno != EAGAIN) {
+        break; // Nobody reads any more; there is no place to say so.
+      }
+      at += written > 0 ? static_cast<std::size_t>(written) : 0;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/logging/LogQueue.h
@@ -0,0 +1,46 @@
+#ifndef HEMLOCKHAVEN_SRC_LOGGING_LOGQUEUE_H
+#define HEMLOCKHAVEN_SRC_LOGGING_LOGQUEUE_H
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace hemlockhaven {
+
+//! Writes lines to a file descriptor on a thread of its own. A reader that does
+//! not read costs lines, never the time of whoever logs.
+class LogQueue
+{
+public:
+  //! Bytes that may wait; further lines are dropped and counted.
+  static constexpr std::size_t kMostBytes = std::size_t{ 1 } << 20U;
+
+  explicit LogQueue(int aDescriptor);
+  //! Writes what waits, unless the reader has stopped to read.
+  ~LogQueue();
+  LogQueue(const LogQueue&) = delete;
+  LogQueue& operator=(const LogQueue&) = delete;
+
+  void Push(std::string_view aLine);
+
+  std::uint64_t Dropped() const;
+
+private:
+  void Run();
+
+  const int descriptor_;
+  mutable std::mutex mutex_;
+  std::condition_variable wake_;
+  std::string waiting_;
+  std::uint64_t dropped_ = 0;
+  bool stop_ = false;
+  std::thread thread_;
+};
+
+}
+
+#endif
--- a/src/logging/RateLimit.h
+++ b/src/logging/RateLimit.h
@@ -16,6 +16,9 @@
 public:
   explicit RateLimit(std::uint32_t aMostPerSecond);
 
+  //! Not while other threads use it.
+  void SetMostPerSecond(std::uint32_t aLines) { mostPerSecond_ = aLines; }
+
   //! Whether a line of the kind may be written in this second: if so, how many
   //! of its kind were dropped since the last that was written.
   std::optional<std::uint64_t> Admit(std::string_view aKind,
--- /dev/null
+++ b/src/net/HttpClientConnection.cpp
@@ -0,0 +1,170 @@
+#include "net/HttpClientConnection.h"
+
+#include "net/Address.h"
+#include "net/HttpClient.h"
+#include "net/SocketOptions.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace hemlockhaven::Detail {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+//! The bytes of a request. Written by hand, since a general serializer costs
+//! more than the rest of a call.
+std::string Encode(const HttpCall& aCall)
+{
+  std::string bytes;
+  bytes.reserve(160 + aCall.target.size() + aCall.body.size());
+  bytes.append(aCall.method).append(" ").append(aCall.target);
+  bytes.append(" HTTP/1.1\r\nHost: ").append(aCall.address).append("\r\n");
+  for (const auto& [name, value] : aCall.headers) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (aCall.method != "GET") {
+    bytes.append("Content-Type: ").append(aCall.contentType);
+    bytes.append("\r\nContent-Length: ");
+    bytes.append(std::to_string(aCall.body.size())).append("\r\n");
+  }
+  return bytes.append("\r\n").append(aCall.body);
+}
+
+}
+
+HttpClientConnection::HttpClientConnection(HttpClient& aOwner,
+                                           net::io_context& aContext,
+                                           std::string aAddress,
+                                           std::size_t aAnswerBytes)
+  : owner_(aOwner)
+  , address_(std::move(aAddress))
+  , answerBytes_(aAnswerBytes)
+  , stream_(net::make_strand(aContext))
+{
+}
+
+void HttpClientConnection::Start(HttpCall aCall, HttpDone aDone)
+{
+  call_ = std::move(aCall);
+  done_ = std::move(aDone);
+  request_ = Encode(call_);
+  net::dispatch(stream_.get_executor(), [self = shared_from_this()] {
+    self->stream_.expires_after(self->call_.timeout);
+    if (self->connected_) {
+      self->Write();
+    } else {
+      self->Connect();
+    }
+  });
+}
+
+void HttpClientConnection::Connect()
+{
+  const auto endpoint = ParseAddress(address_);
+  if (!endpoint) {
+    Fail(HttpEnd::NotSent, "bad address");
+    return;
+  }
+  stream_.async_connect(
+    *endpoint, [self = shared_from_this()](const beast::error_code& aError) {
+      if (aError) {
+        self->Fail(HttpEnd::NotSent, aError.message());
+        return;
+      }
+      self->connected_ = true;
+      SetSocketOptions(self->stream_.socket());
+      self->Write();
+    });
+}
+
+void HttpClientConnection::Write()
+{
+  net::async_write(
+    stream_,
+    net::buffer(request_),
+    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+      if (aError) {
+        self->Fail(HttpEnd::Unknown, aError.message());
+      } else {
+        self->Read();
+      }
+    });
+}
+
+void HttpClientConnection::Read()
+{
+  parser_.emplace();
+  parser_->body_limit(answerBytes_);
+  http::async_read(
+    stream_,
+    buffer_,
+    *parser_,
+    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+      if (aError) {
+        self->Fail(HttpEnd::Unknown, aError.message());
+        return;
+      }
+      auto& message = self->parser_->get();
+      const bool hasEnd =
+        message.chunked() ||
+        message.find(http::field::content_length) != message.end() ||
+        message.result_int() == 204;
+      HttpResult result;
+      result.end = hasEnd ? HttpEnd::Answered : HttpEnd::Unknown;
+      result.status = message.result_int();
+      result.body = std::move(message.body());
+      self->Finish(std::move(result),
+                   hasEnd && message.keep_alive() && self->buffer_.size() == 0);
+    });
+}
+
+void HttpClientConnection::Fail(HttpEnd aEnd, std::string aDetail)
+{
+  HttpResult result;
+  result.end = aEnd;
+  result.detail = std::move(aDetail);
+  Finish(std::move(result), false);
+}
+
+void HttpClientConnection::Finish(HttpResult aResult, bool aKeep)
+{
+  const HttpDone done = std::exchange(done_, nullptr);
+  request_.clear();
+  stream_.expires_never();
+  if (aKeep) {
+    idleSince_ = SteadyNow();
+    owner_.OnIdle(shared_from_this());
+  } else {
+    Close();
+    owner_.OnClosed(address_, shared_from_this());
+  }
+  if (done) {
+    done(std::move(aResult));
+  }
+}
+
+bool HttpClientConnection::IsStale()
+{
+  char byte = 0;
+  const auto got =
+    ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // An idle connection has nothing to read; the end of the stream is 0.
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void HttpClientConnection::Close()
+{
+  beast::error_code ignored; // Nothing is left to lose on this connection.
+  stream_.socket().close(ignored);
+  connected_ = false;
+}
+
+}
--- /dev/null
+++ b/src/net/HttpClientConnection.h
@@ -0,0 +1,70 @@
+#ifndef HEMLOCKHAVEN_SRC_NET_HTTPCLIENTCONNECTION_H
+#define HEMLOCKHAVEN_SRC_NET_HTTPCLIENTCONNECTION_H
+
+#include "net/HttpCall.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hemlockhaven {
+
+class HttpClient;
+
+namespace Detail {
+
+//! One connection to a server; carries one call at a time.
+class HttpClientConnection
+  : public std::enable_shared_from_this<HttpClientConnection>
+{
+public:
+  HttpClientConnection(HttpClient& aOwner,
+                       boost::asio::io_context& aContext,
+                       std::string aAddress,
+                       std::size_t aAnswerBytes);
+
+  //! Starts a call on the idle connection.
+  void Start(HttpCall aCall, HttpDone aDone);
+
+  const std::string& Address() const { return address_; }
+  TimePoint IdleSince() const { return idleSince_; }
+
+  //! Whether the server has closed or sent something while it was idle.
+  bool IsStale();
+  void Close();
+
+private:
+  using Body = boost::beast::http::string_body;
+
+  void Connect();
+  void Write();
+  void Read();
+  void Finish(HttpResult aResult, bool aKeep);
+  void Fail(HttpEnd aEnd, std::string aDetail);
+
+  HttpClient& owner_;
+  const std::string address_;
+  const std::size_t answerBytes_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<boost::beast::http::response_parser<Body>> parser_;
+  std::string request_; //!< Bytes of the present request.
+  HttpCall call_;
+  HttpDone done_;
+  bool connected_ = false;
+  TimePoint idleSince_{};
+};
+
+}
+
+}
+
+#endif
--- /dev/null
+++ b/src/net/HttpListener.cpp
@@ -0,0 +1,276 @@
+#include "net/HttpListener.h"
+
+#include "net/SocketOptions.h"
+
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <utility>
+
+namespace hemlockhaven {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+struct HttpListener::Shared
+{
+  Limits limits;
+  RequestHandler handler;
+  std::atomic<std::size_t> connections{ 0 };
+  std::atomic<bool> closeAfterReplies{ false };
+  std::atomic<bool> stopped{ false };
+};
+
+namespace {
+
+std::string_view ToView(beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+std::string Encode(const OutgoingReply& aReply, bool aKeepAlive)
+{
+  std::string bytes = "HTTP/1.1 ";
+  bytes.append(std::to_string(aReply.status)).append(" ");
+  bytes.append(
+    ToView(http::obsolete_reason(http::int_to_status(aReply.status))));
+  bytes.append("\r\nContent-Type: ").append(aReply.contentType);
+  bytes.append("\r\nContent-Length: ");
+  bytes.append(std::to_string(aReply.body.size()));
+  if (aReply.retryAfterSeconds > 0) {
+    bytes.append("\r\nRetry-After: ");
+    bytes.append(std::to_string(aReply.retryAfterSeconds));
+  }
+  if (!aKeepAlive) {
+    bytes.append("\r\nConnection: close");
+  }
+  return bytes.append("\r\n\r\n").append(aReply.body);
+}
+
+//! One caller's connection; requests on it are served one after the other.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(net::ip::tcp::socket aSocket,
+          std::shared_ptr<HttpListener::Shared> aShared)
+    : stream_(std::move(aSocket))
+    , shared_(std::move(aShared))
+  {
+    ++shared_->connections;
+  }
+
+  ~Session() { --shared_->connections; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void Read()
+  {
+    parser_.emplace();
+    parser_->header_limit(
+      static_cast<std::uint32_t>(shared_->limits.headerBytes));
+    parser_->body_limit(shared_->limits.bodyBytes);
+    stream_.expires_after(shared_->limits.idleTimeout);
+    http::async_read(
+      stream_,
+      buffer_,
+      *parser_,
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t) { self->OnRead(aError); });
+  }
+
+private:
+  void OnRead(const beast::error_code& aError)
+  {
+    if (!aError) {
+      Handle();
+      return;
+    }
+    // The caller's fault gets a status; a connection that ended gets nothing.
+    unsigned status = 0;
+    if (aError == http::error::body_limit) {
+      status = 413;
+    } else if (aError == http::error::header_limit) {
+      status = 431;
+    } else if (aError.category() ==
+                 make_error_code(http::error::bad_method).category() &&
+               aError != http::error::end_of_stream &&
+               aError != http::error::partial_message) {
+      status = 400;
+    }
+    if (status == 0) {
+      return;
+    }
+    keepAlive_ = false;
+    waiting_ = true;
+    OutgoingReply reply;
+    reply.status = status;
+    Write(Encode(reply, false));
+  }
+
+  void Handle()
+  {
+    auto& message = parser_->get();
+    keepAlive_ = message.keep_alive();
+    waiting_ = true;
+    // The caller may wait as long as the handler lets it.
+    stream_.expires_never();
+    IncomingRequest request;
+    request.method = ToView(message.method_string());
+    request.target = ToView(message.target());
+    request.body = message.body();
+    request.header = [&message](std::string_view aName) {
+      return ToView(message[beast::string_view(aName.data(), aName.size())]);
+    };
+    auto left = shared_->handler(
+      request, [self = shared_from_this()](OutgoingReply aReply) {
+        net::dispatch(
+          self->stream_.get_executor(),
+          [self, reply = std::move(aReply)] { self->Reply(reply); });
+      });
+    if (waiting_ && left) {
+      left_ = std::move(left);
+      WatchCaller();
+    }
+  }
+
+  //! Notices that the caller leaves while it waits.
+  void WatchCaller()
+  {
+    stream_.socket().async_wait(
+      net::ip::tcp::socket::wait_read,
+      [self = shared_from_this()](const beast::error_code& aError) {
+        if (aError || !self->waiting_) {
+          return;
+        }
+        char byte = 0;
+        const auto got = ::recv(self->stream_.socket().native_handle(),
+                                &byte,
+                                1,
+                                MSG_PEEK | MSG_DONTWAIT);
+        if (got > 0) {
+          return; // The next request; it is read after this reply.
+        }
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+          self->WatchCaller();
+          return;
+        }
+        self->waiting_ = false;
+        const LeftHook left = std::exchange(self->left_, nullptr);
+        if (left) {
+          left();
+        }
+      });
+  }
+
+  void Reply(const OutgoingReply& aReply)
+  {
+    if (!waiting_) {
+      return; // The caller left.
+    }
+    keepAlive_ = keepAlive_ && !shared_->closeAfterReplies;
+    Write(Encode(aReply, keepAlive_));
+  }
+
+  void Write(std::string aBytes)
+  {
+    waiting_ = false;
+    left_ = nullptr;
+    bytes_ = std::move(aBytes);
+    beast::error_code ignored; // Only ends the watch, if there is one.
+    stream_.socket().cancel(ignored);
+    stream_.expires_after(shared_->limits.readTimeout);
+    net::async_write(
+      stream_,
+      net::buffer(bytes_),
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t) {
+        if (aError) {
+          return;
+        }
+        if (self->keepAlive_) {
+          self->Read();
+          return;
+        }
+        beast::error_code atEnd; // The caller may have closed first.
+        self->stream_.socket().shutdown(net::ip::tcp::socket::shutdown_send,
+                                        atEnd);
+      });
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<HttpListener::Shared> shared_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::string bytes_;
+  LeftHook left_;
+  bool keepAlive_ = true;
+  bool waiting_ = false;
+};
+
+}
+
+HttpListener::HttpListener(net::io_context& aContext,
+                           const net::ip::tcp::endpoint& aAddress,
+                           const Limits& aLimits,
+                           RequestHandler aHandler)
+  : context_(aContext)
+  , acceptor_(net::make_strand(aContext))
+  , shared_(std::make_shared<Shared>())
+{
+  shared_->limits = aLimits;
+  shared_->handler = std::move(aHandler);
+  acceptor_.open(aAddress.protocol());
+  acceptor_.set_option(net::socket_base::reuse_address(true));
+  acceptor_.bind(aAddress);
+  // The longest queue that the system allows: a full one costs seconds.
+  acceptor_.listen(net::socket_base::max_listen_connections);
+  Accept();
+}
+
+HttpListener::~HttpListener()
+{
+  shared_->stopped = true;
+}
+
+void HttpListener::CloseAfterReplies()
+{
+  shared_->closeAfterReplies = true;
+}
+
+std::uint16_t HttpListener::Port() const
+{
+  return acceptor_.local_endpoint().port();
+}
+
+std::size_t HttpListener::Connections() const
+{
+  return shared_->connections;
+}
+
+void HttpListener::Accept()
+{
+  acceptor_.async_accept(
+    net::make_strand(context_),
+    [this, shared = shared_](const beast::error_code& aError,
+                             net::ip::tcp::socket aSocket) {
+      if (shared->stopped || aError == net::error::operation_aborted) {
+        return;
+      }
+      if (!aError && shared->connections < shared->limits.connections) {
+        SetSocketOptions(aSocket);
+        std::make_shared<Session>(std::move(aSocket), shared)->Read();
+      }
+      Accept();
+    });
+}
+
+}
--- /dev/null
+++ b/src/scheduler/EndpointEntry.cpp
@@ -0,0 +1,47 @@
+#include "scheduler/EndpointEntry.h"
+
+#include <algorithm>
+
+namespace hemlockhaven::Detail {
+
+bool EndpointEntry::IsUsable(TimePoint aNow, Duration aSilence) const
+{
+  return UnusableReason(aNow, aSilence).empty();
+}
+
+std::string_view EndpointEntry::UnusableReason(TimePoint aNow,
+                                               Duration aSilence) const
+{
+  if (!isListed) {
+    return "not listed";
+  }
+  if (listed.draining) {
+    return "draining";
+  }
+  if (!taken) {
+    return "not taken over";
+  }
+  if (!heard || aNow - heardAt > aSilence) {
+    return "silent";
+  }
+  if (!orphans.empty()) {
+    return "runs of unknown work";
+  }
+  if (aNow < blockedUntil) {
+    return "refused for want of room";
+  }
+  // On probation an endpoint gets one run at a time.
+  constexpr std::uint32_t kManyRuns = 64;
+  if (runs >= health.AllowedSlots(kManyRuns)) {
+    return "ejected";
+  }
+  return {};
+}
+
+bool EndpointEntry::HasLabel(std::string_view aLabel) const
+{
+  return std::find(listed.labels.begin(), listed.labels.end(), aLabel) !=
+         listed.labels.end();
+}
+
+}
--- /dev/null
+++ b/src/scheduler/EndpointEntry.h
@@ -0,0 +1,66 @@
+#ifndef HEMLOCKHAVEN_SRC_SCHEDULER_ENDPOINTENTRY_H
+#define HEMLOCKHAVEN_SRC_SCHEDULER_ENDPOINTENTRY_H
+
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/fleet/EndpointHealth.h"
+#include "hemlockhaven/scheduler/EndpointLease.h"
+#include "hemlockhaven/scheduler/ListedEndpoint.h"
+#include "hemlockhaven/scheduler/Reports.h"
+#include "hemlockhaven/scheduler/RunTimeModel.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace hemlockhaven::Detail {
+
+//! A run at an endpoint that belongs to no known work.
+struct OrphanRun
+{
+  RunKey run;
+  TimePoint seenAt{};
+  TimePoint stopSentAt{};
+};
+
+//! One endpoint: what is known of it, its lease and the room that is left.
+class EndpointEntry
+{
+public:
+  explicit EndpointEntry(ListedEndpoint aListed)
+    : listed(std::move(aListed))
+    , free(listed.capacity)
+  {
+  }
+
+  //! Whether new runs may start here.
+  bool IsUsable(TimePoint aNow, Duration aSilence) const;
+
+  //! Why not, for the log.
+  std::string_view UnusableReason(TimePoint aNow, Duration aSilence) const;
+
+  bool HasLabel(std::string_view aLabel) const;
+
+  ListedEndpoint listed;
+  bool isListed = true;
+  Resources free;
+  std::uint32_t runs = 0; //!< Active runs of known work.
+  std::vector<OrphanRun> orphans;
+
+  EndpointLease lease;
+  EndpointSpeed speed;
+  EndpointHealth health;
+
+  std::int64_t bornMs = 0; //!< Incarnation that answered last.
+  std::uint64_t ackPosition = 0;
+  bool taken = false; //!< It answered a look of the present term.
+  bool looking = false;
+  TimePoint nextLookAt{};
+  TimePoint lookSentAt{};
+  TimePoint heardAt{}; //!< Last answer of any kind.
+  bool heard = false;
+  TimePoint blockedUntil{}; //!< After a refusal for want of room.
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/scheduler/RunTimeModel.cpp
@@ -0,0 +1,69 @@
+#include "hemlockhaven/scheduler/RunTimeModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockhaven {
+
+namespace {
+
+//! ln of a duration in ms; durations under 1 ms count as 1 ms.
+double LogMs(Duration aDuration)
+{
+  return std::log(
+    std::max(1.0, static_cast<double>(aDuration.count()) / 1000.0));
+}
+
+Duration FromLogMs(double aLogMs)
+{
+  return Duration(static_cast<std::int64_t>(std::exp(aLogMs) * 1000.0));
+}
+
+}
+
+Duration RunTimeModel::Predict(std::string_view aKind, Duration aEstimate) const
+{
+  const auto found = kinds_.find(std::string(aKind));
+  if (found == kinds_.end()) {
+    return aEstimate;
+  }
+  const Kind& kind = found->second;
+  if (aEstimate <= Duration(0)) {
+    return FromLogMs(kind.logWork);
+  }
+  return FromLogMs(kEstimateShare * (LogMs(aEstimate) + kind.logRatio) +
+                   (1 - kEstimateShare) * kind.logWork);
+}
+
+void RunTimeModel::Learn(std::string_view aKind,
+                         Duration aEstimate,
+                         Duration aWork)
+{
+  Kind& kind = kinds_[std::string(aKind)];
+  ++kind.samples;
+  // The plain mean at first, so that the first runs do not weigh too much.
+  const double weight =
+    std::max(kKindWeight, 1.0 / static_cast<double>(kind.samples));
+  kind.logWork += weight * (LogMs(aWork) - kind.logWork);
+  if (aEstimate > Duration(0)) {
+    kind.logRatio += weight * (LogMs(aWork) - LogMs(aEstimate) - kind.logRatio);
+  }
+}
+
+double EndpointSpeed::Value() const
+{
+  return std::exp(logSpeed_);
+}
+
+void EndpointSpeed::Learn(Duration aWork, Duration aTook)
+{
+  ++samples_;
+  const double most = std::log(kMostFactor);
+  const double error =
+    std::clamp(LogMs(aWork) - LogMs(aTook) - logSpeed_, -most, most);
+  const double weight =
+    std::max(kWeight, 1.0 / static_cast<double>(samples_ + 1));
+  logSpeed_ += weight * error;
+}
+
+}
--- /dev/null
+++ b/src/scheduler/Scheduler.cpp
@@ -0,0 +1,131 @@
+#include "hemlockhaven/scheduler/Scheduler.h"
+
+#include "scheduler/SchedulerState.h"
+
+#include <utility>
+
+namespace hemlockhaven {
+
+namespace {
+
+//! Runs one call on the state under the scheduler's lock.
+template<typename Call>
+SchedulerEffects Locked(std::mutex& aMutex,
+                        Detail::SchedulerState& aState,
+                        Call&& aCall)
+{
+  SchedulerEffects effects;
+  const std::lock_guard<std::mutex> lock(aMutex);
+  aState.Begin();
+  std::forward<Call>(aCall)(aState, effects);
+  return effects;
+}
+
+using Detail::SchedulerState;
+
+}
+
+Scheduler::Scheduler(const SchedulerPolicy& aPolicy, Clock aClock)
+  : state_(std::make_unique<SchedulerState>(aPolicy, std::move(aClock)))
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+SchedulerEffects Scheduler::Lead(std::uint64_t aFencingToken)
+{
+  return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.Lead(aFencingToken, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::Yield(std::string_view aReason)
+{
+  return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.Yield(aReason, aEffects);
+  });
+}
+
+bool Scheduler::IsLeading() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return state_->IsLeading();
+}
+
+SchedulerEffects Scheduler::SetEndpoints(Span<const ListedEndpoint> aEndpoints)
+{
+  return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.SetEndpoints(aEndpoints, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::Submit(std::string_view aFront, Work aWork)
+{
+  return Locked(mutex_, *state_, [&](auto& aState, auto& aEffects) {
+    aState.Submit(aFront, std::move(aWork), aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::Cancel(std::string_view aFront,
+                                   std::string_view aWorkId,
+                                   std::string_view aReason)
+{
+  return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.Cancel(aFront, aWorkId, aReason, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::DropFront(std::string_view aFront)
+{
+  return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.DropFront(aFront, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::StartAnswered(const StartOrder& aOrder,
+                                          const OrderReply& aReply)
+{
+  return Locked(mutex_, *state_, [&](auto& aState, auto& aEffects) {
+    aState.StartAnswered(aOrder, aReply, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::StopAnswered(const StopOrder& aOrder,
+                                         const OrderReply& aReply)
+{
+  return Locked(mutex_, *state_, [&](auto& aState, auto&) {
+    aState.StopAnswered(aOrder, aReply);
+  });
+}
+
+SchedulerEffects Scheduler::Looked(const LookOrder& aOrder,
+                                   const LookReport& aReport)
+{
+  return Locked(mutex_, *state_, [&](auto& aState, auto& aEffects) {
+    aState.Looked(aOrder, aReport, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::LookFailed(const LookOrder& aOrder,
+                                       OrderOutcome aOutcome)
+{
+  return Locked(mutex_, *state_, [&](auto& aState, auto& aEffects) {
+    aState.LookFailed(aOrder, aOutcome, aEffects);
+  });
+}
+
+SchedulerEffects Scheduler::Tick()
+{
+  return Locked(mutex_, *state_, [](auto& aState, auto& aEffects) {
+    aState.Tick(aEffects);
+  });
+}
+
+SchedulerLoad Scheduler::Load() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_->Begin();
+  return state_->Load();
+}
+
+}
--- /dev/null
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -0,0 +1,182 @@
+// Admission under more load than the endpoints can carry: work is accepted only
+// if all of its tasks are expected to end in time, after all that was accepted
+// before, so that nothing waits in vain and a refusal is known at once.
+#include "scheduler/SchedulerState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockhaven::Detail {
+
+Duration SchedulerState::PredictTask(const WorkEntry& aEntry,
+                                     std::uint32_t aStep) const
+{
+  return runTimes_.Predict(aEntry.Spec().kind,
+                           aEntry.Spec().steps[aStep].estimate);
+}
+
+void SchedulerState::SetObjective(WorkEntry& aEntry) const
+{
+  std::vector<Duration> times;
+  for (std::uint32_t step = 0; step < aEntry.Spec().steps.size(); ++step) {
+    times.push_back(PredictTask(aEntry, step));
+  }
+  const Duration chain = aEntry.Chain(times);
+  const auto stretched = static_cast<std::int64_t>(
+    static_cast<double>(chain.count()) * aEntry.Spec().stretch);
+  aEntry.SetObjective(Duration(stretched) + aEntry.Spec().targetLatency -
+                      policy_.answerTime);
+}
+
+bool SchedulerState::CanEverRun(const WorkEntry& aEntry) const
+{
+  const auto& steps = aEntry.Spec().steps;
+  return std::all_of(steps.begin(), steps.end(), [this](const WorkStep& aStep) {
+    return std::any_of(
+      endpoints_.begin(), endpoints_.end(), [&aStep](const auto& aPair) {
+        const EndpointEntry& endpoint = aPair.second;
+        return aStep.each.FitsInto(endpoint.listed.capacity) &&
+               (aStep.requiredLabel.empty() ||
+                endpoint.HasLabel(aStep.requiredLabel));
+      });
+  });
+}
+
+Forecast SchedulerState::MakeForecast() const
+{
+  std::unordered_map<std::string, std::vector<Release>> releases;
+  for (const auto& [id, entry] : works_) {
+    for (const TaskEntry& task : entry->Tasks()) {
+      if (task.IsActive()) {
+        releases[task.endpoint].push_back(
+          { task.expectedEnd, entry->StepOf(task).each });
+      }
+    }
+  }
+  Forecast forecast(now_);
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.IsUsable(now_, policy_.silence)) {
+      forecast.AddEndpoint(endpoint.free, endpoint.speed.Value(), releases[id]);
+    }
+  }
+  return forecast;
+}
+
+std::optional<TimePoint> SchedulerState::PlaceAll(Forecast& aForecast,
+                                                  const WorkEntry& aEntry) const
+{
+  TimePoint last = now_;
+  PlacementDemand demand;
+  demand.latestEnd = aEntry.LatestEnd();
+  for (const TaskEntry& task : aEntry.Tasks()) {
+    if (task.phase != TaskPhase::Waiting) {
+      if (task.IsActive()) {
+        last = std::max(last, task.expectedEnd);
+      }
+      continue;
+    }
+    // Later steps follow the end of all that was placed so far.
+    demand.now = aEntry.StepOf(task).after.empty() ? now_ : last;
+    demand.each = aEntry.StepOf(task).each;
+    demand.work = PredictTask(aEntry, task.step);
+    const auto end = aForecast.Place(demand);
+    if (!end) {
+      return std::nullopt;
+    }
+    last = std::max(last, *end);
+  }
+  return last;
+}
+
+SchedulerState::Verdict SchedulerState::Judge(const WorkEntry& aEntry) const
+{
+  Forecast forecast = MakeForecast();
+  TimePoint backlogEnd = now_;
+  bool judged = false;
+  Verdict verdict;
+  // Work that has to end earlier goes first; later work must not become late.
+  const auto judge = [&] {
+    judged = true;
+    const auto end = PlaceAll(forecast, aEntry);
+    if (!end) {
+      verdict.reason = "no endpoint can run it now";
+      verdict.retryAfter = policy_.leastRetryAfter;
+      return false;
+    }
+    if (*end > aEntry.LatestEnd()) {
+      verdict.reason = "would end too late";
+      verdict.retryAfter = *end - aEntry.LatestEnd();
+      return false;
+    }
+    return true;
+  };
+  for (const auto& [key, queued] : queue_) {
+    if (!judged && aEntry.LatestEnd() < key.first && !judge()) {
+      return verdict;
+    }
+    const auto end = PlaceAll(forecast, *queued);
+    if (!end) {
+      continue;
+    }
+    backlogEnd = std::max(backlogEnd, *end);
+    if (judged && *end > queued->LatestEnd() &&
+        queued->LatestEnd() > now_ + PredictTask(*queued, 0)) {
+      verdict.reason = "would make accepted work late";
+      verdict.retryAfter = backlogEnd - now_;
+      return verdict;
+    }
+  }
+  if (!judged && !judge()) {
+    return verdict;
+  }
+  verdict.accepted = true;
+  return verdict;
+}
+
+void SchedulerState::Admit(std::string_view aFront,
+                           Work aWork,
+                           SchedulerEffects& aEffects)
+{
+  auto owned =
+    std::make_unique<WorkEntry>(std::string(aFront), std::move(aWork), now_);
+  WorkEntry& entry = *owned;
+  SetObjective(entry);
+  Verdict verdict;
+  if (!CanEverRun(entry)) {
+    verdict.reason = endpoints_.empty() ? "no endpoints are known"
+                                        : "no endpoint is large enough";
+    verdict.retryAfter = policy_.leastRetryAfter;
+  } else if (entry.Spec().submissions > 0) {
+    // It was accepted before, and part of it may have run.
+    verdict.accepted = true;
+  } else {
+    verdict = Judge(entry);
+  }
+  if (!verdict.accepted) {
+    // Spreads the returns over as much time again.
+    const double spread = 1 + dice_.NextShare();
+    const auto wait = static_cast<std::int64_t>(
+      static_cast<double>(
+        std::max(verdict.retryAfter, policy_.leastRetryAfter).count()) *
+      spread);
+    Note(
+      aEffects, "admit", entry.Spec().id, nullptr, "refused", verdict.reason);
+    Answer(
+      entry, WorkOutcome::Refused, verdict.reason, Duration(wait), aEffects);
+    return;
+  }
+  Note(aEffects, "admit", entry.Spec().id, nullptr, "accepted");
+  works_.emplace(entry.Spec().id, std::move(owned));
+  if (entry.Spec().submissions > 0 && MayHideRuns()) {
+    entry.heldUntil = now_ + policy_.takeoverDoubt;
+  }
+  AdoptOrphans(entry, aEffects);
+  if (entry.IsDone()) {
+    End(entry, WorkOutcome::Completed, "ended before", Duration(0), aEffects);
+    return;
+  }
+  Enqueue(entry);
+  Dispatch(aEffects);
+}
+
+}
--- /dev/null
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -0,0 +1,544 @@
+// What becomes of runs: a task is started again only when its last run has
+// certainly ended, by the endpoint's word or because its lease has lapsed.
+#include "scheduler/SchedulerState.h"
+
+#include <algorithm>
+
+namespace hemlockhaven::Detail {
+
+namespace {
+
+//! Pause before a stop that had no effect is sent again.
+constexpr Duration kStopAgain{ 300000 };
+//! Ends of unknown work are kept until their fronts hand the work in again.
+constexpr Duration kKeepEarlyEnds{ 3000000 };
+//! An endpoint that refused for want of room is left alone until its next end.
+constexpr Duration kNoRoomPause{ 30000 };
+
+}
+
+void SchedulerState::ReleaseRoom(WorkEntry& aEntry, TaskEntry& aTask)
+{
+  if (EndpointEntry* endpoint = FindEndpoint(aTask.endpoint)) {
+    endpoint->free += aEntry.StepOf(aTask).each;
+    --endpoint->runs;
+  }
+}
+
+void SchedulerState::RunGone(WorkEntry& aEntry,
+                             TaskEntry& aTask,
+                             std::string_view aReason,
+                             SchedulerEffects& aEffects)
+{
+  ReleaseRoom(aEntry, aTask);
+  Note(aEffects,
+       "run",
+       aEntry.Spec().id,
+       FindEndpoint(aTask.endpoint),
+       "ended",
+       aReason);
+  aTask.phase = TaskPhase::Waiting;
+  if (!aEntry.IsEnding()) {
+    Enqueue(aEntry);
+  }
+}
+
+void SchedulerState::RunDone(WorkEntry& aEntry,
+                             TaskEntry& aTask,
+                             SchedulerEffects& aEffects)
+{
+  ReleaseRoom(aEntry, aTask);
+  if (EndpointEntry* endpoint = FindEndpoint(aTask.endpoint)) {
+    endpoint->health.Succeeded(1);
+    const Duration took = now_ - aTask.confirmedAt;
+    if (aTask.predicted > Duration(0) && took > Duration(0)) {
+      const auto work = Duration(static_cast<std::int64_t>(
+        static_cast<double>(took.count()) * endpoint->speed.Value()));
+      runTimes_.Learn(aEntry.Spec().kind, aEntry.StepOf(aTask).estimate, work);
+      endpoint->speed.Learn(aTask.predicted, took);
+    }
+  }
+  aEntry.MarkDone(aTask);
+  if (!aEntry.IsEnding() && aEntry.IsDone()) {
+    End(aEntry, WorkOutcome::Completed, "", Duration(0), aEffects);
+  }
+}
+
+void SchedulerState::RunFailed(WorkEntry& aEntry,
+                               TaskEntry& aTask,
+                               SchedulerEffects& aEffects)
+{
+  ++aTask.failures;
+  aTask.avoid = aTask.endpoint;
+  if (EndpointEntry* endpoint = FindEndpoint(aTask.endpoint)) {
+    SuspectFailure(*endpoint, aEffects);
+  }
+  RunGone(aEntry, aTask, "failed", aEffects);
+  if (!aEntry.IsEnding() && aTask.failures >= aEntry.Spec().attempts) {
+    End(aEntry,
+        WorkOutcome::Failed,
+        "a task failed in all attempts",
+        Duration(0),
+        aEffects);
+  }
+}
+
+void SchedulerState::SuspectFailure(EndpointEntry& aEndpoint,
+                                    SchedulerEffects& aEffects)
+{
+  if (aEndpoint.health.Failed(FleetFailureRate())) {
+    aEndpoint.health.Eject(now_);
+    Note(aEffects, "endpoint", "", &aEndpoint, "ejected");
+  }
+}
+
+void SchedulerState::StopRun(WorkEntry& aEntry,
+                             TaskEntry& aTask,
+                             SchedulerEffects& aEffects)
+{
+  aTask.phase = TaskPhase::Stopping;
+  aTask.stopSentAt = now_;
+  const EndpointEntry* endpoint = FindEndpoint(aTask.endpoint);
+  if (endpoint == nullptr) {
+    return;
+  }
+  aEffects.stops.push_back(
+    { TargetOf(*endpoint),
+      { { aEntry.Spec().id, aTask.step, aTask.index }, aTask.run } });
+}
+
+void SchedulerState::StartAnswered(const StartOrder& aOrder,
+                                   const OrderReply& aReply,
+                                   SchedulerEffects& aEffects)
+{
+  EndpointEntry* endpoint = FindEndpoint(aOrder.target.endpoint);
+  if (endpoint == nullptr || aOrder.target.fencingToken != token_) {
+    return; // Of an earlier term: the looks of this term tell.
+  }
+  if (aReply.clockMs > 0) {
+    endpoint->lease.ObserveClock(aReply.clockMs, now_);
+    endpoint->heardAt = now_;
+    endpoint->heard = true;
+  }
+  WorkEntry* entry = nullptr;
+  TaskEntry* task = FindRun(aOrder.run, entry);
+  if (task == nullptr || task->endpoint != aOrder.target.endpoint) {
+    return;
+  }
+  const bool stopping = task->phase == TaskPhase::Stopping;
+  std::string_view gone;
+  switch (aReply.outcome) {
+    case OrderOutcome::Accepted:
+      if (task->phase == TaskPhase::Starting) {
+        task->phase = TaskPhase::Running;
+        task->expectedEnd += now_ - task->sentAt;
+        task->confirmedAt = now_;
+      }
+      return;
+    case OrderOutcome::Unknown:
+      Note(aEffects, "start", entry->Spec().id, endpoint, "no answer");
+      // Proves the endpoint silent until it answers a look.
+      endpoint->heard = false;
+      if (!stopping) {
+        StopRun(*entry, *task, aEffects);
+        task->avoid = task->endpoint;
+      }
+      return;
+    case OrderOutcome::Fenced:
+      aEffects.fencedByOther = true;
+      endpoint->taken = false;
+      gone = "fenced";
+      break;
+    case OrderOutcome::Superseded:
+      gone = "run number not new";
+      task->run += 8;
+      break;
+    case OrderOutcome::Expired:
+      gone = "start expired";
+      break;
+    case OrderOutcome::NoRoom:
+      endpoint->blockedUntil = now_ + kNoRoomPause;
+      gone = "no room";
+      break;
+    case OrderOutcome::Unhealthy:
+      SuspectFailure(*endpoint, aEffects);
+      gone = "refused as unhealthy";
+      break;
+    case OrderOutcome::WrongIncarnation:
+      endpoint->taken = false;
+      gone = "another incarnation";
+      break;
+    case OrderOutcome::NotSent:
+      endpoint->heard = false;
+      gone = "not reachable";
+      break;
+  }
+  // Refused, so this run exists nowhere.
+  const std::string id = entry->Spec().id;
+  RunGone(*entry, *task, gone, aEffects);
+  ForgetIfOver(id, aEffects);
+  Dispatch(aEffects);
+}
+
+void SchedulerState::StopAnswered(const StopOrder& aOrder,
+                                  const OrderReply& aReply)
+{
+  EndpointEntry* endpoint = FindEndpoint(aOrder.target.endpoint);
+  if (endpoint == nullptr || aOrder.target.fencingToken != token_) {
+    return;
+  }
+  WorkEntry* entry = nullptr;
+  TaskEntry* task = FindRun(aOrder.run, entry);
+  if (task != nullptr && task->phase == TaskPhase::Stopping &&
+      aReply.outcome == OrderOutcome::Accepted && !task->stopConfirmedAt) {
+    task->stopConfirmedAt = now_;
+  }
+}
+
+void SchedulerState::Looked(const LookOrder& aOrder,
+                            const LookReport& aReport,
+                            SchedulerEffects& aEffects)
+{
+  EndpointEntry* endpoint = FindEndpoint(aOrder.target.endpoint);
+  if (endpoint == nullptr || aOrder.target.fencingToken != token_) {
+    return;
+  }
+  if (endpoint->bornMs != aReport.bornMs) {
+    if (endpoint->bornMs != 0) {
+      Note(aEffects, "endpoint", "", endpoint, "restarted");
+    }
+    endpoint->bornMs = aReport.bornMs;
+    endpoint->lease.Reset();
+    endpoint->ackPosition = 0;
+    endpoint->orphans.clear();
+    endpoint->speed = EndpointSpeed();
+  }
+  endpoint->lease.ObserveClock(aReport.clockMs, now_);
+  endpoint->heardAt = now_;
+  if (!endpoint->heard) {
+    Note(aEffects, "endpoint", "", endpoint, "answers");
+  }
+  endpoint->heard = true;
+  const bool first = !endpoint->taken;
+  endpoint->taken = true;
+  ApplyEnds(*endpoint, aReport, aEffects);
+  ApplyRunning(*endpoint, aReport, aEffects);
+  endpoint->looking = false;
+  Look(*endpoint, first ? Duration(0) : policy_.lookWait, aEffects);
+  Dispatch(aEffects);
+}
+
+void SchedulerState::ApplyEnds(EndpointEntry& aEndpoint,
+                               const LookReport& aReport,
+                               SchedulerEffects& aEffects)
+{
+  for (const EndedRun& ended : aReport.ended) {
+    if (ended.position <= aEndpoint.ackPosition) {
+      continue;
+    }
+    aEndpoint.ackPosition = ended.position;
+    auto& orphans = aEndpoint.orphans;
+    orphans.erase(std::remove_if(orphans.begin(),
+                                 orphans.end(),
+                                 [&ended](const OrphanRun& aOrphan) {
+                                   return aOrphan.run.run == ended.run.run &&
+                                          aOrphan.run.task == ended.run.task;
+                                 }),
+                  orphans.end());
+    WorkEntry* entry = nullptr;
+    TaskEntry* task = FindRun(ended.run, entry);
+    if (entry == nullptr && ended.how == RunEnd::Done) {
+      if (doneEarly_.empty()) {
+        doneEarlySince_ = now_;
+      }
+      doneEarly_[ended.run.task.workId].push_back(ended.run.task);
+      continue;
+    }
+    if (task == nullptr || task->endpoint != aEndpoint.listed.id) {
+      continue;
+    }
+    const std::string id = entry->Spec().id;
+    switch (ended.how) {
+      case RunEnd::Done:
+        RunDone(*entry, *task, aEffects);
+        break;
+      case RunEnd::Failed:
+        RunFailed(*entry, *task, aEffects);
+        break;
+      case RunEnd::Stopped:
+        RunGone(*entry, *task, "stopped", aEffects);
+        break;
+      case RunEnd::Lapsed:
+        RunGone(*entry, *task, "lease lapsed", aEffects);
+        break;
+      case RunEnd::Other:
+        RunGone(*entry, *task, "ended with others", aEffects);
+        break;
+    }
+    ForgetIfOver(id, aEffects);
+  }
+}
+
+void SchedulerState::ApplyRunning(EndpointEntry& aEndpoint,
+                                  const LookReport& aReport,
+                                  SchedulerEffects& aEffects)
+{
+  for (const RunKey& run : aReport.running) {
+    WorkEntry* entry = nullptr;
+    TaskEntry* task = FindRun(run, entry);
+    if (task != nullptr && task->endpoint == aEndpoint.listed.id) {
+      if (task->phase == TaskPhase::Starting) {
+        task->phase = TaskPhase::Running;
+        task->confirmedAt = now_;
+      }
+      continue;
+    }
+    auto& orphans = aEndpoint.orphans;
+    const bool known =
+      std::any_of(orphans.begin(), orphans.end(), [&run](const auto& aOrphan) {
+        return aOrphan.run.run == run.run && aOrphan.run.task == run.task;
+      });
+    if (!known) {
+      orphans.push_back({ run, now_, {} });
+    }
+    if (entry != nullptr && !entry->IsEnding()) {
+      AdoptOrphans(*entry, aEffects);
+    }
+  }
+  auto& orphans = aEndpoint.orphans;
+  orphans.erase(std::remove_if(orphans.begin(),
+                               orphans.end(),
+                               [&aReport](const OrphanRun& aOrphan) {
+                                 return std::none_of(
+                                   aReport.running.begin(),
+                                   aReport.running.end(),
+                                   [&aOrphan](const RunKey& aRun) {
+                                     return aRun.run == aOrphan.run.run &&
+                                            aRun.task == aOrphan.run.task;
+                                   });
+                               }),
+                orphans.end());
+
+  // Runs that should be listed and are not have ended unseen.
+  std::vector<RunKey> gone;
+  for (const auto& [id, entry] : works_) {
+    for (const TaskEntry& task : entry->Tasks()) {
+      if (!task.IsActive() || task.endpoint != aEndpoint.listed.id) {
+        continue;
+      }
+      const RunKey key{ { id, task.step, task.index }, task.run };
+      const bool listed = std::any_of(
+        aReport.running.begin(), aReport.running.end(), [&key](const auto& a) {
+          return a.run == key.run && a.task == key.task;
+        });
+      const TimePoint asked = aEndpoint.lookSentAt;
+      const bool shouldBeListed =
+        task.phase == TaskPhase::Running && task.confirmedAt < asked;
+      const bool cannotStart =
+        (task.phase != TaskPhase::Running &&
+         aReport.clockMs > task.deadlineClockMs) ||
+        (task.stopConfirmedAt && *task.stopConfirmedAt < asked);
+      if (!listed && (shouldBeListed || cannotStart)) {
+        gone.push_back(key);
+      }
+    }
+  }
+  for (const RunKey& key : gone) {
+    WorkEntry* entry = nullptr;
+    if (TaskEntry* task = FindRun(key, entry)) {
+      RunGone(*entry, *task, "not listed any more", aEffects);
+      ForgetIfOver(key.task.workId, aEffects);
+    }
+  }
+}
+
+void SchedulerState::LookFailed(const LookOrder& aOrder,
+                                OrderOutcome aOutcome,
+                                SchedulerEffects& aEffects)
+{
+  EndpointEntry* endpoint = FindEndpoint(aOrder.target.endpoint);
+  if (endpoint == nullptr || aOrder.target.fencingToken != token_) {
+    return;
+  }
+  endpoint->looking = false;
+  endpoint->nextLookAt = now_ + policy_.lookPause;
+  if (endpoint->heard || endpoint->taken) {
+    Note(aEffects,
+         "endpoint",
+         "",
+         endpoint,
+         aOutcome == OrderOutcome::Fenced ? "taken by another leader"
+                                          : "look failed");
+  }
+  if (aOutcome == OrderOutcome::Fenced) {
+    endpoint->taken = false;
+    aEffects.fencedByOther = true;
+    return;
+  }
+  if (aOutcome == OrderOutcome::WrongIncarnation) {
+    endpoint->taken = false;
+  }
+  endpoint->heard = false;
+}
+
+void SchedulerState::Adopt(WorkEntry& aEntry,
+                           TaskEntry& aTask,
+                           EndpointEntry& aEndpoint,
+                           std::uint32_t aRun,
+                           SchedulerEffects& aEffects)
+{
+  aTask.phase = TaskPhase::Running;
+  aTask.run = aRun;
+  aTask.endpoint = aEndpoint.listed.id;
+  aTask.confirmedAt = now_;
+  aTask.predicted = Duration(0); // Its start is not known: nothing to learn.
+  aTask.expectedEnd = now_ + PredictTask(aEntry, aTask.step);
+  aEndpoint.free -= aEntry.StepOf(aTask).each;
+  ++aEndpoint.runs;
+  aEntry.MarkStarted(now_);
+  Note(aEffects, "run", aEntry.Spec().id, &aEndpoint, "adopted");
+}
+
+void SchedulerState::AdoptOrphans(WorkEntry& aEntry, SchedulerEffects& aEffects)
+{
+  const auto early = doneEarly_.find(aEntry.Spec().id);
+  if (early != doneEarly_.end()) {
+    for (const TaskKey& key : early->second) {
+      TaskEntry* task = aEntry.Find(key.step, key.index);
+      if (task != nullptr && !task->IsActive()) {
+        aEntry.MarkDone(*task);
+        aEntry.MarkStarted(now_);
+      }
+    }
+    doneEarly_.erase(early);
+  }
+  for (auto& [id, endpoint] : endpoints_) {
+    auto& orphans = endpoint.orphans;
+    for (auto orphan = orphans.begin(); orphan != orphans.end();) {
+      TaskEntry* task =
+        orphan->run.task.workId == aEntry.Spec().id
+          ? aEntry.Find(orphan->run.task.step, orphan->run.task.index)
+          : nullptr;
+      if (task != nullptr && task->phase == TaskPhase::Waiting) {
+        Adopt(aEntry, *task, endpoint, orphan->run.run, aEffects);
+        orphan = orphans.erase(orphan);
+      } else {
+        ++orphan;
+      }
+    }
+  }
+}
+
+void SchedulerState::TickEndpoint(EndpointEntry& aEndpoint,
+                                  SchedulerEffects& aEffects)
+{
+  if (!aEndpoint.looking && now_ >= aEndpoint.nextLookAt) {
+    Look(aEndpoint, Duration(0), aEffects);
+  }
+  if (aEndpoint.health.ReturnIfDue(now_)) {
+    Note(aEffects, "endpoint", "", &aEndpoint, "on probation");
+  }
+  for (OrphanRun& orphan : aEndpoint.orphans) {
+    if (now_ - orphan.seenAt > policy_.orphanGrace &&
+        now_ - orphan.stopSentAt > kStopAgain) {
+      orphan.stopSentAt = now_;
+      aEffects.stops.push_back({ TargetOf(aEndpoint), orphan.run });
+      Note(aEffects,
+           "run",
+           orphan.run.task.workId,
+           &aEndpoint,
+           "stopped",
+           "nobody waits for it");
+    }
+  }
+}
+
+void SchedulerState::TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects)
+{
+  if (aEntry.heldUntil && (now_ >= *aEntry.heldUntil || !MayHideRuns())) {
+    aEntry.heldUntil.reset();
+  }
+  for (TaskEntry& task : aEntry.Tasks()) {
+    if (!task.IsActive()) {
+      continue;
+    }
+    EndpointEntry* endpoint = FindEndpoint(task.endpoint);
+    const bool silent =
+      endpoint == nullptr || now_ - endpoint->heardAt > policy_.silence;
+    if (endpoint == nullptr || (silent && endpoint->lease.HasLapsed(now_))) {
+      task.avoid = task.endpoint;
+      RunGone(aEntry, task, "lease lapsed unseen", aEffects);
+      continue;
+    }
+    if (task.phase == TaskPhase::Stopping &&
+        now_ - task.stopSentAt > kStopAgain) {
+      StopRun(aEntry, task, aEffects);
+    }
+    if (task.phase == TaskPhase::Running && task.predicted > Duration(0) &&
+        !silent) {
+      const Duration ran = now_ - task.confirmedAt;
+      const auto most = std::max(
+        policy_.hangFloor,
+        Duration(static_cast<std::int64_t>(
+          static_cast<double>(task.predicted.count()) * policy_.hangFactor /
+          std::min(1.0, endpoint->speed.Value()))));
+      if (ran > most) {
+        Note(aEffects, "run", aEntry.Spec().id, endpoint, "hangs");
+        endpoint->speed.Learn(task.predicted, ran);
+        SuspectFailure(*endpoint, aEffects);
+        task.avoid = task.endpoint;
+        StopRun(aEntry, task, aEffects);
+      }
+    }
+  }
+  if (aEntry.IsEnding()) {
+    return;
+  }
+  const Duration age = now_ - aEntry.FirstSent();
+  const auto useless = Duration(static_cast<std::int64_t>(
+    static_cast<double>(aEntry.Objective().count()) * policy_.lateFactor));
+  if (!aEntry.HasStarted() && age > useless) {
+    End(aEntry,
+        WorkOutcome::Refused,
+        "waited too long",
+        policy_.leastRetryAfter,
+        aEffects);
+  } else if (now_ > aEntry.PatienceEnd()) {
+    End(aEntry,
+        aEntry.HasStarted() ? WorkOutcome::Cancelled : WorkOutcome::Refused,
+        "caller's deadline passed",
+        policy_.leastRetryAfter,
+        aEffects);
+  }
+}
+
+void SchedulerState::Tick(SchedulerEffects& aEffects)
+{
+  if (!IsLeading()) {
+    return;
+  }
+  std::vector<std::string> ids;
+  for (auto& [id, endpoint] : endpoints_) {
+    TickEndpoint(endpoint, aEffects);
+  }
+  ids.reserve(works_.size());
+  for (const auto& [id, entry] : works_) {
+    ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    if (WorkEntry* entry = FindWork(id)) {
+      TickWork(*entry, aEffects);
+      ForgetIfOver(id, aEffects);
+    }
+  }
+  for (auto entry = finished_.begin(); entry != finished_.end();) {
+    const bool old = now_ - entry->second.at > policy_.rememberFinished;
+    entry = old ? finished_.erase(entry) : std::next(entry);
+  }
+  if (!doneEarly_.empty() && now_ - doneEarlySince_ > kKeepEarlyEnds) {
+    doneEarly_.clear();
+  }
+  Dispatch(aEffects);
+}
+
+}
--- /dev/null
+++ b/src/scheduler/SchedulerState.cpp
@@ -0,0 +1,337 @@
+#include "scheduler/SchedulerState.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace hemlockhaven::Detail {
+
+SchedulerState::SchedulerState(const SchedulerPolicy& aPolicy, Clock aClock)
+  : policy_(aPolicy)
+  , clock_(std::move(aClock))
+  , dice_(1)
+{
+}
+
+EndpointEntry* SchedulerState::FindEndpoint(const std::string& aId)
+{
+  const auto found = endpoints_.find(aId);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+WorkEntry* SchedulerState::FindWork(const std::string& aId)
+{
+  const auto found = works_.find(aId);
+  return found == works_.end() ? nullptr : found->second.get();
+}
+
+TaskEntry* SchedulerState::FindRun(const RunKey& aRun, WorkEntry*& aEntry)
+{
+  aEntry = FindWork(aRun.task.workId);
+  if (aEntry == nullptr) {
+    return nullptr;
+  }
+  TaskEntry* task = aEntry->Find(aRun.task.step, aRun.task.index);
+  return task != nullptr && task->IsActive() && task->run == aRun.run ? task
+                                                                      : nullptr;
+}
+
+OrderTarget SchedulerState::TargetOf(const EndpointEntry& aEndpoint) const
+{
+  return { aEndpoint.listed.id, aEndpoint.listed.address, token_ };
+}
+
+void SchedulerState::Note(SchedulerEffects& aEffects,
+                          std::string_view aStep,
+                          std::string_view aWorkId,
+                          const EndpointEntry* aEndpoint,
+                          std::string_view aOutcome,
+                          std::string_view aDetail) const
+{
+  Decision decision;
+  decision.step = aStep;
+  decision.workId = aWorkId;
+  decision.outcome = aOutcome;
+  decision.detail = aDetail;
+  if (aEndpoint != nullptr) {
+    decision.endpoint = aEndpoint->listed.id;
+    decision.inputAge =
+      aEndpoint->heard ? now_ - aEndpoint->heardAt : Duration(0);
+  }
+  aEffects.decisions.push_back(std::move(decision));
+}
+
+void SchedulerState::Lead(std::uint64_t aFencingToken,
+                          SchedulerEffects& aEffects)
+{
+  token_ = aFencingToken;
+  Note(aEffects, "lead", "", nullptr, "taking over", std::to_string(token_));
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.taken = false;
+    endpoint.looking = false;
+    Look(endpoint, Duration(0), aEffects);
+  }
+}
+
+void SchedulerState::Yield(std::string_view aReason, SchedulerEffects& aEffects)
+{
+  if (!IsLeading()) {
+    return;
+  }
+  Note(aEffects, "lead", "", nullptr, "yielded", aReason);
+  for (auto& [id, entry] : works_) {
+    if (!entry->IsEnding()) {
+      Answer(*entry, WorkOutcome::Moved, aReason, Duration(0), aEffects);
+    }
+    if (entry->restart) {
+      aEffects.answers.push_back({ entry->restart->first,
+                                   id,
+                                   WorkOutcome::Moved,
+                                   std::string(aReason),
+                                   Duration(0),
+                                   Duration(0) });
+    }
+  }
+  // Runs go on under the next leader, who finds them by looking.
+  works_.clear();
+  queue_.clear();
+  finished_.clear();
+  doneEarly_.clear();
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.free = endpoint.listed.capacity;
+    endpoint.runs = 0;
+    endpoint.orphans.clear();
+    endpoint.taken = false;
+    endpoint.looking = false;
+    endpoint.heard = false;
+  }
+  token_ = 0;
+}
+
+void SchedulerState::SetEndpoints(Span<const ListedEndpoint> aEndpoints,
+                                  SchedulerEffects& aEffects)
+{
+  std::unordered_set<std::string> present;
+  for (const ListedEndpoint& listed : aEndpoints) {
+    present.insert(listed.id);
+    const auto [found, isNew] = endpoints_.try_emplace(listed.id, listed);
+    EndpointEntry& endpoint = found->second;
+    if (isNew) {
+      if (IsLeading()) {
+        Look(endpoint, Duration(0), aEffects);
+      }
+      continue;
+    }
+    if (listed.draining != endpoint.listed.draining) {
+      Note(aEffects,
+           "endpoint",
+           "",
+           &endpoint,
+           listed.draining ? "draining" : "ready");
+    }
+    Resources change = listed.capacity;
+    change -= endpoint.listed.capacity;
+    endpoint.free += change;
+    endpoint.listed = listed;
+    endpoint.isListed = true;
+  }
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
+    EndpointEntry& endpoint = entry->second;
+    if (present.count(entry->first) == 0) {
+      if (endpoint.isListed) {
+        Note(aEffects, "endpoint", "", &endpoint, "gone from the list");
+      }
+      endpoint.isListed = false;
+      if (endpoint.runs == 0 && endpoint.orphans.empty()) {
+        entry = endpoints_.erase(entry);
+        continue;
+      }
+    }
+    ++entry;
+  }
+  Dispatch(aEffects);
+}
+
+void SchedulerState::Look(EndpointEntry& aEndpoint,
+                          Duration aWait,
+                          SchedulerEffects& aEffects)
+{
+  LookOrder order;
+  order.target = TargetOf(aEndpoint);
+  order.taking = !aEndpoint.taken;
+  order.ackPosition = aEndpoint.ackPosition;
+  order.wait = aWait;
+  if (const auto deadline = aEndpoint.lease.DeadlineIn(policy_.lease, now_)) {
+    order.deadlineClockMs = *deadline;
+    aEndpoint.lease.Extend(*deadline);
+  }
+  aEndpoint.looking = true;
+  aEndpoint.lookSentAt = now_;
+  aEffects.looks.push_back(std::move(order));
+}
+
+void SchedulerState::Submit(std::string_view aFront,
+                            Work aWork,
+                            SchedulerEffects& aEffects)
+{
+  const std::string front(aFront);
+  if (!IsLeading()) {
+    aEffects.answers.push_back({ front,
+                                 aWork.id,
+                                 WorkOutcome::Moved,
+                                 "not leading",
+                                 Duration(0),
+                                 Duration(0) });
+    return;
+  }
+  if (WorkEntry* known = FindWork(aWork.id)) {
+    if (known->IsEnding()) {
+      known->restart.emplace(front, std::move(aWork));
+      Note(aEffects, "submit", known->Spec().id, nullptr, "after its stop");
+    } else {
+      known->SetFront(front);
+      Note(aEffects, "submit", known->Spec().id, nullptr, "joined");
+    }
+    return;
+  }
+  const auto finished = finished_.find(aWork.id);
+  if (finished != finished_.end()) {
+    aEffects.answers.push_back({ front,
+                                 aWork.id,
+                                 finished->second.outcome,
+                                 "ended before",
+                                 Duration(0),
+                                 Duration(0) });
+    return;
+  }
+  Admit(aFront, std::move(aWork), aEffects);
+}
+
+void SchedulerState::Answer(WorkEntry& aEntry,
+                            WorkOutcome aOutcome,
+                            std::string_view aReason,
+                            Duration aRetryAfter,
+                            SchedulerEffects& aEffects)
+{
+  aEffects.answers.push_back({ aEntry.Front(),
+                               aEntry.Spec().id,
+                               aOutcome,
+                               std::string(aReason),
+                               aRetryAfter,
+                               aEntry.Waited() });
+  if (aOutcome == WorkOutcome::Completed || aOutcome == WorkOutcome::Failed) {
+    finished_[aEntry.Spec().id] = { now_, aOutcome };
+  }
+}
+
+void SchedulerState::End(WorkEntry& aEntry,
+                         WorkOutcome aOutcome,
+                         std::string_view aReason,
+                         Duration aRetryAfter,
+                         SchedulerEffects& aEffects)
+{
+  const std::string id = aEntry.Spec().id;
+  Answer(aEntry, aOutcome, aReason, aRetryAfter, aEffects);
+  aEntry.MarkEnding();
+  Dequeue(aEntry);
+  for (TaskEntry& task : aEntry.Tasks()) {
+    if (task.IsActive() && task.phase != TaskPhase::Stopping) {
+      StopRun(aEntry, task, aEffects);
+    }
+  }
+  ForgetIfOver(id, aEffects);
+}
+
+void SchedulerState::ForgetIfOver(const std::string& aWorkId,
+                                  SchedulerEffects& aEffects)
+{
+  WorkEntry* entry = FindWork(aWorkId);
+  if (entry == nullptr || !entry->IsEnding() || entry->HasActiveRuns()) {
+    return;
+  }
+  auto restart = std::move(entry->restart);
+  works_.erase(aWorkId);
+  if (restart) {
+    Submit(restart->first, std::move(restart->second), aEffects);
+  }
+}
+
+void SchedulerState::Cancel(std::string_view aFront,
+                            std::string_view aWorkId,
+                            std::string_view aReason,
+                            SchedulerEffects& aEffects)
+{
+  WorkEntry* entry = FindWork(std::string(aWorkId));
+  if (entry == nullptr) {
+    return;
+  }
+  if (entry->restart && entry->restart->first == aFront) {
+    entry->restart.reset();
+    return;
+  }
+  if (entry->IsEnding() || entry->Front() != aFront) {
+    return;
+  }
+  Note(aEffects, "cancel", aWorkId, nullptr, "stopping", aReason);
+  End(*entry, WorkOutcome::Cancelled, aReason, Duration(0), aEffects);
+  Dispatch(aEffects);
+}
+
+void SchedulerState::DropFront(std::string_view aFront,
+                               SchedulerEffects& aEffects)
+{
+  std::vector<std::string> dropped;
+  for (const auto& [id, entry] : works_) {
+    if (entry->Front() == aFront && !entry->IsEnding()) {
+      dropped.push_back(id);
+    }
+  }
+  for (const std::string& id : dropped) {
+    Cancel(aFront, id, "front lost", aEffects);
+  }
+}
+
+SchedulerLoad SchedulerState::Load() const
+{
+  SchedulerLoad load;
+  load.works = works_.size();
+  for (const auto& [id, entry] : works_) {
+    if (!entry->IsEnding() && !entry->HasStarted()) {
+      ++load.waitingWorks;
+    }
+    for (const TaskEntry& task : entry->Tasks()) {
+      load.waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
+      load.activeRuns += task.IsActive() ? 1 : 0;
+    }
+  }
+  load.endpoints = endpoints_.size();
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.IsUsable(now_, policy_.silence)) {
+      ++load.usableEndpoints;
+      load.freeCpuMillis += endpoint.free.cpuMillis;
+    }
+  }
+  return load;
+}
+
+double SchedulerState::FleetFailureRate() const
+{
+  if (endpoints_.empty()) {
+    return 0;
+  }
+  double sum = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    sum += endpoint.health.FailureRate();
+  }
+  return sum / static_cast<double>(endpoints_.size());
+}
+
+bool SchedulerState::MayHideRuns() const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [](const auto& aPair) {
+      return !aPair.second.taken || !aPair.second.heard;
+    });
+}
+
+}
--- /dev/null
+++ b/src/scheduler/SchedulerState.h
@@ -0,0 +1,170 @@
+#ifndef HEMLOCKHAVEN_SRC_SCHEDULER_SCHEDULERSTATE_H
+#define HEMLOCKHAVEN_SRC_SCHEDULER_SCHEDULERSTATE_H
+
+#include "hemlockhaven/fleet/Dice.h"
+#include "hemlockhaven/scheduler/Forecast.h"
+#include "hemlockhaven/scheduler/Scheduler.h"
+#include "scheduler/EndpointEntry.h"
+#include "scheduler/WorkEntry.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace hemlockhaven::Detail {
+
+//! The state behind one scheduler's lock.
+class SchedulerState
+{
+public:
+  SchedulerState(const SchedulerPolicy& aPolicy, Clock aClock);
+
+  void Lead(std::uint64_t aFencingToken, SchedulerEffects& aEffects);
+  void Yield(std::string_view aReason, SchedulerEffects& aEffects);
+  bool IsLeading() const { return token_ != 0; }
+  void SetEndpoints(Span<const ListedEndpoint> aEndpoints,
+                    SchedulerEffects& aEffects);
+  void Submit(std::string_view aFront, Work aWork, SchedulerEffects& aEffects);
+  void Cancel(std::string_view aFront,
+              std::string_view aWorkId,
+              std::string_view aReason,
+              SchedulerEffects& aEffects);
+  void DropFront(std::string_view aFront, SchedulerEffects& aEffects);
+  void StartAnswered(const StartOrder& aOrder,
+                     const OrderReply& aReply,
+                     SchedulerEffects& aEffects);
+  void StopAnswered(const StopOrder& aOrder, const OrderReply& aReply);
+  void Looked(const LookOrder& aOrder,
+              const LookReport& aReport,
+              SchedulerEffects& aEffects);
+  void LookFailed(const LookOrder& aOrder,
+                  OrderOutcome aOutcome,
+                  SchedulerEffects& aEffects);
+  void Tick(SchedulerEffects& aEffects);
+  SchedulerLoad Load() const;
+
+private:
+  using Works = std::unordered_map<std::string, std::unique_ptr<WorkEntry>>;
+  //! Waiting work, the one that has to end first in front.
+  using Queue = std::map<std::pair<TimePoint, std::string>, WorkEntry*>;
+
+  // SchedulerAdmission.cpp
+  void Admit(std::string_view aFront, Work aWork, SchedulerEffects& aEffects);
+  void SetObjective(WorkEntry& aEntry) const;
+  //! Whether the work would end in time without making accepted work late;
+  //! else how long the queue ahead of it takes.
+  struct Verdict
+  {
+    bool accepted = false;
+    std::string reason;
+    Duration retryAfter{ 0 };
+  };
+  Verdict Judge(const WorkEntry& aEntry) const;
+  Forecast MakeForecast() const;
+  std::optional<TimePoint> PlaceAll(Forecast& aForecast,
+                                    const WorkEntry& aEntry) const;
+  Duration PredictTask(const WorkEntry& aEntry, std::uint32_t aStep) const;
+  bool CanEverRun(const WorkEntry& aEntry) const;
+
+  // SchedulerDispatch.cpp
+  void Dispatch(SchedulerEffects& aEffects);
+  bool DispatchTask(WorkEntry& aEntry,
+                    TaskEntry& aTask,
+                    SchedulerEffects& aEffects);
+  void Start(WorkEntry& aEntry,
+             TaskEntry& aTask,
+             EndpointEntry& aEndpoint,
+             SchedulerEffects& aEffects);
+  void Enqueue(WorkEntry& aEntry);
+  void Dequeue(WorkEntry& aEntry);
+
+  // SchedulerRuns.cpp
+  void StopRun(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
+  //! The task's run has certainly ended without success.
+  void RunGone(WorkEntry& aEntry,
+               TaskEntry& aTask,
+               std::string_view aReason,
+               SchedulerEffects& aEffects);
+  void RunDone(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
+  void RunFailed(WorkEntry& aEntry,
+                 TaskEntry& aTask,
+                 SchedulerEffects& aEffects);
+  void ReleaseRoom(WorkEntry& aEntry, TaskEntry& aTask);
+  void Adopt(WorkEntry& aEntry,
+             TaskEntry& aTask,
+             EndpointEntry& aEndpoint,
+             std::uint32_t aRun,
+             SchedulerEffects& aEffects);
+  void AdoptOrphans(WorkEntry& aEntry, SchedulerEffects& aEffects);
+  void ApplyEnds(EndpointEntry& aEndpoint,
+                 const LookReport& aReport,
+                 SchedulerEffects& aEffects);
+  void ApplyRunning(EndpointEntry& aEndpoint,
+                    const LookReport& aReport,
+                    SchedulerEffects& aEffects);
+  void SuspectFailure(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
+  void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
+  void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
+
+  // SchedulerState.cpp
+  void Look(EndpointEntry& aEndpoint,
+            Duration aWait,
+            SchedulerEffects& aEffects);
+  void Answer(WorkEntry& aEntry,
+              WorkOutcome aOutcome,
+              std::string_view aReason,
+              Duration aRetryAfter,
+              SchedulerEffects& aEffects);
+  //! Answers and stops what still runs.
+  void End(WorkEntry& aEntry,
+           WorkOutcome aOutcome,
+           std::string_view aReason,
+           Duration aRetryAfter,
+           SchedulerEffects& aEffects);
+  //! Forgets the work once nothing of it runs.
+  void ForgetIfOver(const std::string& aWorkId, SchedulerEffects& aEffects);
+  EndpointEntry* FindEndpoint(const std::string& aId);
+  WorkEntry* FindWork(const std::string& aId);
+  //! The task of this run, if it is the task's present run.
+  TaskEntry* FindRun(const RunKey& aRun, WorkEntry*& aEntry);
+  OrderTarget TargetOf(const EndpointEntry& aEndpoint) const;
+  void Note(SchedulerEffects& aEffects,
+            std::string_view aStep,
+            std::string_view aWorkId,
+            const EndpointEntry* aEndpoint,
+            std::string_view aOutcome,
+            std::string_view aDetail = {}) const;
+  double FleetFailureRate() const;
+  //! Whether an endpoint may run work of another leader unseen.
+  bool MayHideRuns() const;
+
+  SchedulerPolicy policy_;
+  Clock clock_;
+  TimePoint now_{}; //!< Time of the present call.
+  std::uint64_t token_ = 0;
+  std::unordered_map<std::string, EndpointEntry> endpoints_;
+  Works works_;
+  Queue queue_;
+  RunTimeModel runTimes_;
+  Dice dice_;
+
+  struct Finished
+  {
+    TimePoint at{};
+    WorkOutcome outcome = WorkOutcome::Completed;
+  };
+  std::unordered_map<std::string, Finished> finished_;
+  //! Tasks that ended done before their work was known here.
+  std::unordered_map<std::string, std::vector<TaskKey>> doneEarly_;
+  TimePoint doneEarlySince_{};
+
+public:
+  //! Reads the clock once for a call.
+  void Begin() { now_ = clock_(); }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/scheduler/WorkEntry.cpp
@@ -0,0 +1,86 @@
+#include "scheduler/WorkEntry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hemlockhaven::Detail {
+
+WorkEntry::WorkEntry(std::string aFront, Work aWork, TimePoint aNow)
+  : front_(std::move(aFront))
+  , work_(std::move(aWork))
+  , arrived_(aNow)
+{
+  // Runs of earlier schedulers have lower numbers.
+  constexpr std::uint32_t kRunsAScheduler = 64;
+  std::uint32_t step = 0;
+  for (const WorkStep& spec : work_.steps) {
+    openTasks_.push_back(spec.count);
+    for (std::uint32_t index = 0; index < spec.count; ++index) {
+      TaskEntry task;
+      task.step = step;
+      task.index = index;
+      task.run = work_.submissions * kRunsAScheduler;
+      tasks_.push_back(std::move(task));
+    }
+    ++step;
+  }
+}
+
+TaskEntry* WorkEntry::Find(std::uint32_t aStep, std::uint32_t aIndex)
+{
+  for (TaskEntry& task : tasks_) {
+    if (task.step == aStep && task.index == aIndex) {
+      return &task;
+    }
+  }
+  return nullptr;
+}
+
+bool WorkEntry::IsStepReady(std::uint32_t aStep) const
+{
+  const auto& after = work_.steps[aStep].after;
+  return std::all_of(after.begin(), after.end(), [this](std::uint32_t aBefore) {
+    return aBefore < openTasks_.size() && openTasks_[aBefore] == 0;
+  });
+}
+
+void WorkEntry::MarkDone(TaskEntry& aTask)
+{
+  if (aTask.phase == TaskPhase::Done) {
+    return;
+  }
+  aTask.phase = TaskPhase::Done;
+  --openTasks_[aTask.step];
+  ++doneTasks_;
+}
+
+bool WorkEntry::HasActiveRuns() const
+{
+  return std::any_of(tasks_.begin(), tasks_.end(), [](const TaskEntry& aTask) {
+    return aTask.IsActive();
+  });
+}
+
+void WorkEntry::MarkStarted(TimePoint aNow)
+{
+  if (!started_) {
+    started_ = true;
+    waited_ = aNow - arrived_;
+  }
+}
+
+Duration WorkEntry::Chain(const std::vector<Duration>& aStepTimes) const
+{
+  std::vector<Duration> ends(work_.steps.size(), Duration(0));
+  Duration longest{ 0 };
+  for (std::size_t step = 0; step < work_.steps.size(); ++step) {
+    for (const std::uint32_t before : work_.steps[step].after) {
+      ends[step] = std::max(ends[step], ends[before]);
+    }
+    ends[step] += aStepTimes[step];
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+}
--- /dev/null
+++ b/src/scheduler/WorkEntry.h
@@ -0,0 +1,119 @@
+#ifndef HEMLOCKHAVEN_SRC_SCHEDULER_WORKENTRY_H
+#define HEMLOCKHAVEN_SRC_SCHEDULER_WORKENTRY_H
+
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/Work.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hemlockhaven::Detail {
+
+enum class TaskPhase : std::uint8_t
+{
+  Waiting,
+  Starting, //!< A start was sent and is not answered.
+  Running,
+  Stopping, //!< A stop was sent and its end is not known yet.
+  Done,
+};
+
+//! One task and its present run.
+struct TaskEntry
+{
+  std::uint32_t step = 0;
+  std::uint32_t index = 0; //!< Within the step.
+  TaskPhase phase = TaskPhase::Waiting;
+  std::uint32_t run = 0; //!< Number of the present or last run.
+  std::uint32_t failures = 0;
+  std::string endpoint;    //!< Of the present run.
+  std::string avoid;       //!< Endpoint of the last run that failed or hung.
+  TimePoint sentAt{};      //!< The start was sent.
+  TimePoint confirmedAt{}; //!< The endpoint said that it runs.
+  TimePoint expectedEnd{};
+  TimePoint stopSentAt{};
+  std::optional<TimePoint> stopConfirmedAt; //!< Cannot start any more.
+  std::int64_t deadlineClockMs = 0;         //!< The start is void after this.
+  Duration predicted{ 0 };                  //!< Run time at speed 1.
+
+  bool IsActive() const
+  {
+    return phase != TaskPhase::Waiting && phase != TaskPhase::Done;
+  }
+};
+
+//! One piece of work that this scheduler accepted, with its tasks' states.
+//! Its rules: a step starts after the steps it depends on; an answer is given
+//! once; nothing starts after the answer.
+class WorkEntry
+{
+public:
+  WorkEntry(std::string aFront, Work aWork, TimePoint aNow);
+
+  const Work& Spec() const { return work_; }
+  const std::string& Front() const { return front_; }
+  void SetFront(std::string aFront) { front_ = std::move(aFront); }
+
+  std::vector<TaskEntry>& Tasks() { return tasks_; }
+  const std::vector<TaskEntry>& Tasks() const { return tasks_; }
+  TaskEntry* Find(std::uint32_t aStep, std::uint32_t aIndex);
+
+  const WorkStep& StepOf(const TaskEntry& aTask) const
+  {
+    return work_.steps[aTask.step];
+  }
+
+  //! Whether all steps before this one are done.
+  bool IsStepReady(std::uint32_t aStep) const;
+  bool IsDone() const { return doneTasks_ == tasks_.size(); }
+  void MarkDone(TaskEntry& aTask);
+
+  bool HasActiveRuns() const;
+  bool HasStarted() const { return started_; }
+  void MarkStarted(TimePoint aNow);
+  Duration Waited() const { return waited_; }
+
+  //! Answered; remaining runs are being stopped.
+  bool IsEnding() const { return ending_; }
+  void MarkEnding() { ending_ = true; }
+
+  TimePoint Arrived() const { return arrived_; }
+  TimePoint FirstSent() const { return arrived_ - work_.age; }
+  TimePoint PatienceEnd() const { return arrived_ + work_.patience; }
+
+  TimePoint LatestEnd() const { return latestEnd_; }
+  void SetObjective(Duration aObjective)
+  {
+    objective_ = aObjective;
+    latestEnd_ = FirstSent() + aObjective;
+  }
+  Duration Objective() const { return objective_; }
+
+  //! Sum of the longest chain of steps, given a step's predicted task time.
+  Duration Chain(const std::vector<Duration>& aStepTimes) const;
+
+  //! Submitted again while its runs are being stopped: starts over later.
+  std::optional<std::pair<std::string, Work>> restart;
+  //! Runs of an earlier scheduler may exist until then.
+  std::optional<TimePoint> heldUntil;
+
+private:
+  std::string front_;
+  Work work_;
+  TimePoint arrived_;
+  std::vector<TaskEntry> tasks_;
+  std::vector<std::uint32_t> openTasks_; //!< Tasks not done, by step.
+  std::size_t doneTasks_ = 0;
+  bool started_ = false;
+  bool ending_ = false;
+  Duration waited_{ 0 };
+  Duration objective_{ 0 };
+  TimePoint latestEnd_{};
+};
+
+}
+
+#endif
