--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -77,6 +77,8 @@
   //! Whether this daemon may lead; false with a reason while it knows no
   //! endpoints, is too slow, or stops.
   void SetCanLead(bool aCanLead, std::string_view aReason);
+  //! Stops the work of all callers that wait here, and tells them so.
+  void EndAll(std::string_view aReason);
   //! Gives up leading for good.
   void Leave();
 
--- a/include/hemlockhaven/front/FrontDesk.h
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -95,6 +95,9 @@
 
   FrontEffects Tick();
 
+  //! Answers all callers that wait, because this daemon stops.
+  FrontEffects EndAll(std::string_view aReason);
+
   //! Whether a caller of this work waits here.
   bool Knows(std::string_view aWorkId) const;
 
@@ -131,6 +134,11 @@
                      const std::string& aWorkId,
                      CallerAnswer aAnswer,
                      FrontEffects& aEffects);
+  //! Takes the work back from its leader and answers its caller.
+  static void GiveUp(Shard& aShard,
+                     const std::string& aWorkId,
+                     std::string_view aReason,
+                     FrontEffects& aEffects);
   std::string PresentLeader() const;
 
   Clock clock_;
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -29,7 +29,7 @@
   //! longer before they hand work to another leader that may not see its runs.
   Duration settle{ 150000 };
   //! Time to find other members after the start.
-  Duration discovery{ 700000 };
+  Duration discovery{ 350000 };
   //! After another leader took its endpoints, a minority stays away for this,
   //! doubled each time up to eight times.
   Duration fencedPause{ 2000000 };
@@ -107,7 +107,8 @@
   bool HasMajority() const;
   void Lose(Known& aKnown, ElectionEffects& aEffects);
   void Elect(ElectionEffects& aEffects);
-  void StepUp(ElectionEffects& aEffects);
+  //! Leads with a token that many rounds above all that are known.
+  void StepUp(std::uint64_t aRounds, ElectionEffects& aEffects);
   void StepDown(std::string_view aReason, ElectionEffects& aEffects);
   void SetLeader(const std::string& aName, ElectionEffects& aEffects);
   Beat MakeBeat(const Known& aKnown) const;
@@ -129,7 +130,9 @@
   bool canLead_ = false;
   bool leaving_ = false;
   TimePoint awayUntil_{};
-  std::uint32_t timesFenced_ = 0;
+  std::uint32_t timesFenced_ = 0; //!< As a minority.
+  std::uint32_t fencedInRow_ = 0; //!< As a majority.
+  TimePoint fencedAt_{};
 };
 
 }
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -21,8 +21,10 @@
   //! Pause before a failed look is tried again.
   Duration lookPause{ 100000 };
   //! Runs of unknown work are stopped after this; their fronts hand the work
-  //! in again within a detection time and a round trip.
-  Duration orphanGrace{ 1000000 };
+  //! in again within a few round trips of a new leader's first beat.
+  Duration orphanGrace{ 200000 };
+  //! Looks at an endpoint with runs of unknown work wait no longer than this.
+  Duration orphanLookWait{ 50000 };
   //! After taking over, runs at endpoints that do not answer are over after
   //! this: the old leader gives up lost fronts, and leases lapse.
   Duration takeoverDoubt{ 1900000 };
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -238,6 +238,11 @@
   Apply(election_.SetCanLead(aCanLead, aReason));
 }
 
+void Coordinator::EndAll(std::string_view aReason)
+{
+  Apply(desk_.EndAll(aReason));
+}
+
 void Coordinator::Leave()
 {
   Apply(election_.Leave());
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -248,43 +248,62 @@
   return effects;
 }
 
+void FrontDesk::GiveUp(Shard& aShard,
+                       const std::string& aWorkId,
+                       std::string_view aReason,
+                       FrontEffects& aEffects)
+{
+  const std::string leader = aShard.entries[aWorkId].leader;
+  CallerAnswer answer;
+  answer.reason = aReason;
+  answer.retryAfter = kUnavailableRetry;
+  if (leader.empty()) {
+    answer.outcome = CallerOutcome::Unavailable;
+  } else {
+    answer.outcome = CallerOutcome::TimedOut;
+    aEffects.cancellations.push_back({ leader, aWorkId, answer.reason });
+  }
+  Finish(aShard, aWorkId, std::move(answer), aEffects);
+}
+
 FrontEffects FrontDesk::Tick()
 {
   FrontEffects effects;
-  const std::string present = PresentLeader();
+  const bool leaderless = PresentLeader().empty();
   const TimePoint now = clock_();
   for (Shard& shard : shards_) {
     const std::lock_guard<std::mutex> lock(shard.mutex);
-    std::vector<std::pair<std::string, CallerAnswer>> over;
+    std::vector<std::pair<std::string, std::string_view>> over;
     for (const auto& [id, entry] : shard.entries) {
       const Duration unassigned = now - entry.unassignedSince;
       if (now >= entry.deadline) {
-        over.emplace_back(id,
-                          CallerAnswer{ entry.leader.empty()
-                                          ? CallerOutcome::Unavailable
-                                          : CallerOutcome::TimedOut,
-                                        "deadline passed",
-                                        kUnavailableRetry });
-      } else if (entry.leader.empty() && present.empty() &&
+        over.emplace_back(id, "deadline passed");
+      } else if (entry.leader.empty() && leaderless &&
                  unassigned > kLeaderPatience) {
-        over.emplace_back(id,
-                          CallerAnswer{ CallerOutcome::Unavailable,
-                                        "no leader is known",
-                                        kUnavailableRetry });
-      } else if ((present.empty() || !entry.assigned) &&
+        over.emplace_back(id, "no leader is known");
+      } else if ((leaderless || !entry.assigned) &&
                  unassigned > kNextLeaderPatience) {
-        over.emplace_back(id,
-                          CallerAnswer{ CallerOutcome::TimedOut,
-                                        "its leader was lost",
-                                        kUnavailableRetry });
+        over.emplace_back(id, "its leader was lost");
       }
     }
-    for (auto& [id, answer] : over) {
-      const std::string leader = shard.entries[id].leader;
-      if (!leader.empty()) {
-        effects.cancellations.push_back({ leader, id, answer.reason });
-      }
-      Finish(shard, id, std::move(answer), effects);
+    for (const auto& [id, reason] : over) {
+      GiveUp(shard, id, reason, effects);
+    }
+  }
+  return effects;
+}
+
+FrontEffects FrontDesk::EndAll(std::string_view aReason)
+{
+  FrontEffects effects;
+  for (Shard& shard : shards_) {
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    std::vector<std::string> ids;
+    for (const auto& [id, entry] : shard.entries) {
+      ids.push_back(id);
+    }
+    for (const std::string& id : ids) {
+      GiveUp(shard, id, aReason, effects);
     }
   }
   return effects;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -162,8 +162,18 @@
   if (token_ == 0) {
     return effects;
   }
+  Elect(effects); // Yields if the other leader is seen and preferred.
+  if (token_ == 0) {
+    return effects;
+  }
   if (HasMajority()) {
-    StepUp(effects); // Takes the endpoints back with a higher token.
+    // Takes the endpoints back. How far ahead the other token is, is not
+    // known: doubling the step finds it in a few attempts.
+    constexpr std::uint32_t kMostStepDoublings = 16;
+    const bool again = now_ - fencedAt_ < times_.fencedPause;
+    fencedInRow_ = again ? std::min(fencedInRow_ + 1, kMostStepDoublings) : 0;
+    fencedAt_ = now_;
+    StepUp(std::uint64_t{ 1 } << fencedInRow_, effects);
     return effects;
   }
   awayUntil_ = now_ + times_.fencedPause *
@@ -244,13 +254,13 @@
   }
 }
 
-void LeaderElection::StepUp(ElectionEffects& aEffects)
+void LeaderElection::StepUp(std::uint64_t aRounds, ElectionEffects& aEffects)
 {
   // Seconds since 1970 keep tokens rising when all daemons restart at once.
   constexpr std::int64_t kMsPerSecond = 1000;
   const auto round =
     std::max(static_cast<std::uint64_t>(wallClock_() / kMsPerSecond),
-             (highestToken_ >> kNameBits) + 1);
+             (highestToken_ >> kNameBits) + aRounds);
   token_ =
     (round << kNameBits) | (HashName(self_.name) & ((1ULL << kNameBits) - 1));
   highestToken_ = token_;
@@ -270,22 +280,33 @@
 
 void LeaderElection::Elect(ElectionEffects& aEffects)
 {
+  // Of several leaders the preferred one stays. Their tokens do not decide,
+  // since what is known of the others' is old while they rise.
   const Known* best = nullptr;
+  std::uint64_t highest = 0;
   for (const auto& [address, known] : members_) {
-    if (IsAlive(known) && known.last.leaderToken != 0 &&
-        (best == nullptr || known.last.leaderToken > best->last.leaderToken)) {
+    if (!IsAlive(known) || known.last.leaderToken == 0) {
+      continue;
+    }
+    highest = std::max(highest, known.last.leaderToken);
+    if (best == nullptr || Rank(known.member) < Rank(best->member)) {
       best = &known;
     }
   }
-  if (best != nullptr && best->last.leaderToken > token_) {
+  const bool otherLeads =
+    best != nullptr && (token_ == 0 || Rank(best->member) < Rank(self_));
+  if (otherLeads) {
     if (token_ != 0) {
-      StepDown("another leader has a higher token", aEffects);
+      StepDown("another leader is preferred", aEffects);
     }
     timesFenced_ = 0;
     SetLeader(best->member.name, aEffects);
     return;
   }
   if (token_ != 0) {
+    if (highest > token_) {
+      StepUp(1, aEffects);
+    }
     SetLeader(self_.name, aEffects);
     return;
   }
@@ -293,7 +314,7 @@
   if (canLead_ && !leaving_ && now_ >= awayUntil_ &&
       now_ - startedAt_ >= times_.discovery &&
       now_ - leaderlessSince_ >= times_.settle && IsPreferred()) {
-    StepUp(aEffects);
+    StepUp(1, aEffects);
   }
 }
 
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -12,6 +12,8 @@
 
 #include <sys/socket.h>
 
+#include <map>
+#include <mutex>
 #include <optional>
 #include <utility>
 
@@ -26,8 +28,11 @@
   Limits limits;
   RequestHandler handler;
   std::atomic<std::size_t> connections{ 0 };
-  std::atomic<bool> closeAfterReplies{ false };
+  std::atomic<bool> draining{ false };
   std::atomic<bool> stopped{ false };
+  std::mutex mutex;
+  //! Connections that wait for a request; each closes itself when called.
+  std::map<const void*, std::function<void()>> idle;
 };
 
 namespace {
@@ -68,7 +73,12 @@
     ++shared_->connections;
   }
 
-  ~Session() { --shared_->connections; }
+  ~Session()
+  {
+    --shared_->connections;
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    shared_->idle.erase(this);
+  }
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
@@ -79,6 +89,15 @@
       static_cast<std::uint32_t>(shared_->limits.headerBytes));
     parser_->body_limit(shared_->limits.bodyBytes);
     stream_.expires_after(shared_->limits.idleTimeout);
+    {
+      const std::lock_guard<std::mutex> lock(shared_->mutex);
+      shared_->idle[this] = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          net::dispatch(self->stream_.get_executor(),
+                        [self] { self->CloseIfIdle(); });
+        }
+      };
+    }
     http::async_read(
       stream_,
       buffer_,
@@ -88,8 +107,21 @@
   }
 
 private:
+  void CloseIfIdle()
+  {
+    // A request that has begun is answered; this one has not.
+    if (!waiting_ && !parser_->got_some() && buffer_.size() == 0) {
+      beast::error_code ignored; // The caller may have closed first.
+      stream_.socket().close(ignored);
+    }
+  }
+
   void OnRead(const beast::error_code& aError)
   {
+    {
+      const std::lock_guard<std::mutex> lock(shared_->mutex);
+      shared_->idle.erase(this);
+    }
     if (!aError) {
       Handle();
       return;
@@ -176,7 +208,7 @@
     if (!waiting_) {
       return; // The caller left.
     }
-    keepAlive_ = keepAlive_ && !shared_->closeAfterReplies;
+    keepAlive_ = keepAlive_ && !shared_->draining;
     Write(Encode(aReply, keepAlive_));
   }
 
@@ -241,9 +273,19 @@
   shared_->stopped = true;
 }
 
-void HttpListener::CloseAfterReplies()
+void HttpListener::Drain()
 {
-  shared_->closeAfterReplies = true;
+  if (shared_->draining.exchange(true)) {
+    return;
+  }
+  std::map<const void*, std::function<void()>> idle;
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    idle.swap(shared_->idle);
+  }
+  for (const auto& [session, close] : idle) {
+    close();
+  }
 }
 
 std::uint16_t HttpListener::Port() const
--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -67,8 +67,9 @@
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
 
-  //! From now on replies ask callers to close their connections.
-  void CloseAfterReplies();
+  //! Closes connections on which no request has begun, and from now on each
+  //! other one after its reply.
+  void Drain();
 
   std::uint16_t Port() const;
   std::size_t Connections() const;
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -224,7 +224,13 @@
   ApplyEnds(*endpoint, aReport, aEffects);
   ApplyRunning(*endpoint, aReport, aEffects);
   endpoint->looking = false;
-  Look(*endpoint, first ? Duration(0) : policy_.lookWait, aEffects);
+  Duration wait = policy_.lookWait;
+  if (first) {
+    wait = Duration(0); // Renews the lease, now that the clock is known.
+  } else if (!endpoint->orphans.empty()) {
+    wait = policy_.orphanLookWait;
+  }
+  Look(*endpoint, wait, aEffects);
   Dispatch(aEffects);
 }
 
@@ -346,7 +352,14 @@
   for (const RunKey& key : gone) {
     WorkEntry* entry = nullptr;
     if (TaskEntry* task = FindRun(key, entry)) {
-      RunGone(*entry, *task, "not listed any more", aEffects);
+      RunGone(*entry,
+              *task,
+              "not listed any more " + std::to_string((int)task->phase) + " c" +
+                std::to_string((now_ - task->confirmedAt).count()) + " s" +
+                std::to_string((now_ - task->sentAt).count()) + " l" +
+                std::to_string((now_ - aEndpoint.lookSentAt).count()) + " clk" +
+                std::to_string(aReport.clockMs - task->deadlineClockMs),
+              aEffects);
       ForgetIfOver(key.task.workId, aEffects);
     }
   }
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -161,7 +161,13 @@
   order.taking = !aEndpoint.taken;
   order.ackPosition = aEndpoint.ackPosition;
   order.wait = aWait;
-  if (const auto deadline = aEndpoint.lease.DeadlineIn(policy_.lease, now_)) {
+  // Without an answer the lease is left to lapse: the endpoint may still hear
+  // this daemon, and its runs must be over some time. Nor are runs of unknown
+  // work renewed: another leader that cannot reach them counts on their lapse.
+  const bool answers = aEndpoint.heard && aEndpoint.orphans.empty() &&
+                       now_ - aEndpoint.heardAt <= policy_.silence;
+  const auto deadline = aEndpoint.lease.DeadlineIn(policy_.lease, now_);
+  if (answers && deadline) {
     order.deadlineClockMs = *deadline;
     aEndpoint.lease.Extend(*deadline);
   }
