--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -28,6 +28,11 @@
   //! After taking over, runs at endpoints that do not answer are over after
   //! this: the old leader gives up lost fronts, and leases lapse.
   Duration takeoverDoubt{ 1900000 };
+  //! An endpoint that left the list may still run work behind a cut for so
+  //! long; cuts seldom last longer.
+  Duration forgetEndpoint{ 30000000 };
+  //! Pause between looks at such an endpoint.
+  Duration unlistedLookPause{ 500000 };
   //! A run is taken to hang after its predicted time times this, ...
   double hangFactor = 4;
   //! ... and at least this.
--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -35,9 +35,10 @@
 struct HttpResult
 {
   HttpEnd end = HttpEnd::Unknown;
-  unsigned status = 0; //!< With Answered.
-  std::string body;    //!< With Answered.
-  std::string detail;  //!< Otherwise: what went wrong.
+  bool refused = false; //!< With NotSent: nothing listens there.
+  unsigned status = 0;  //!< With Answered.
+  std::string body;     //!< With Answered.
+  std::string detail;   //!< Otherwise: what went wrong.
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -169,6 +169,7 @@
       gone = "another incarnation";
       break;
     case OrderOutcome::NotSent:
+    case OrderOutcome::Refused:
       endpoint->heard = false;
       gone = "not reachable";
       break;
@@ -219,6 +220,7 @@
     Note(aEffects, "endpoint", "", endpoint, "answers");
   }
   endpoint->heard = true;
+  endpoint->refusesConnections = false;
   const bool first = !endpoint->taken;
   endpoint->taken = true;
   ApplyEnds(*endpoint, aReport, aEffects);
@@ -352,14 +354,7 @@
   for (const RunKey& key : gone) {
     WorkEntry* entry = nullptr;
     if (TaskEntry* task = FindRun(key, entry)) {
-      RunGone(*entry,
-              *task,
-              "not listed any more " + std::to_string((int)task->phase) + " c" +
-                std::to_string((now_ - task->confirmedAt).count()) + " s" +
-                std::to_string((now_ - task->sentAt).count()) + " l" +
-                std::to_string((now_ - aEndpoint.lookSentAt).count()) + " clk" +
-                std::to_string(aReport.clockMs - task->deadlineClockMs),
-              aEffects);
+      RunGone(*entry, *task, "not listed any more", aEffects);
       ForgetIfOver(key.task.workId, aEffects);
     }
   }
@@ -374,7 +369,9 @@
     return;
   }
   endpoint->looking = false;
-  endpoint->nextLookAt = now_ + policy_.lookPause;
+  endpoint->nextLookAt =
+    now_ + (endpoint->isListed ? policy_.lookPause : policy_.unlistedLookPause);
+  endpoint->refusesConnections = aOutcome == OrderOutcome::Refused;
   if (endpoint->heard || endpoint->taken) {
     Note(aEffects,
          "endpoint",
@@ -392,6 +389,30 @@
     endpoint->taken = false;
   }
   endpoint->heard = false;
+  if (endpoint->refusesConnections) {
+    EndRunsOf(*endpoint, "its process is gone", aEffects);
+    Dispatch(aEffects);
+  }
+}
+
+void SchedulerState::EndRunsOf(EndpointEntry& aEndpoint,
+                               std::string_view aReason,
+                               SchedulerEffects& aEffects)
+{
+  aEndpoint.orphans.clear();
+  std::vector<std::string> ids;
+  for (const auto& [id, entry] : works_) {
+    for (TaskEntry& task : entry->Tasks()) {
+      if (task.IsActive() && task.endpoint == aEndpoint.listed.id) {
+        task.avoid = task.endpoint;
+        RunGone(*entry, task, aReason, aEffects);
+        ids.push_back(id);
+      }
+    }
+  }
+  for (const std::string& id : ids) {
+    ForgetIfOver(id, aEffects);
+  }
 }
 
 void SchedulerState::Adopt(WorkEntry& aEntry,
@@ -551,6 +572,7 @@
   if (!doneEarly_.empty() && now_ - doneEarlySince_ > kKeepEarlyEnds) {
     doneEarly_.clear();
   }
+  ForgetEndpoints();
   Dispatch(aEffects);
 }
 
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -135,19 +135,12 @@
     endpoint.listed = listed;
     endpoint.isListed = true;
   }
-  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
-    EndpointEntry& endpoint = entry->second;
-    if (present.count(entry->first) == 0) {
-      if (endpoint.isListed) {
-        Note(aEffects, "endpoint", "", &endpoint, "gone from the list");
-      }
+  for (auto& [id, endpoint] : endpoints_) {
+    if (endpoint.isListed && present.count(id) == 0) {
+      Note(aEffects, "endpoint", "", &endpoint, "gone from the list");
       endpoint.isListed = false;
-      if (endpoint.runs == 0 && endpoint.orphans.empty()) {
-        entry = endpoints_.erase(entry);
-        continue;
-      }
+      endpoint.unlistedAt = now_;
     }
-    ++entry;
   }
   Dispatch(aEffects);
 }
@@ -334,10 +327,24 @@
 
 bool SchedulerState::MayHideRuns() const
 {
+  // An endpoint that is cut off leaves the list, and runs on under a leader on
+  // its side of the cut.
   return std::any_of(
     endpoints_.begin(), endpoints_.end(), [](const auto& aPair) {
       return !aPair.second.taken || !aPair.second.heard;
     });
 }
 
+void SchedulerState::ForgetEndpoints()
+{
+  for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
+    const EndpointEntry& endpoint = entry->second;
+    const bool over = !endpoint.isListed && endpoint.runs == 0 &&
+                      endpoint.orphans.empty() &&
+                      (endpoint.refusesConnections ||
+                       now_ - endpoint.unlistedAt > policy_.forgetEndpoint);
+    entry = over ? endpoints_.erase(entry) : std::next(entry);
+  }
+}
+
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -104,6 +104,10 @@
   void ApplyRunning(EndpointEntry& aEndpoint,
                     const LookReport& aReport,
                     SchedulerEffects& aEffects);
+  //! Nothing runs at the endpoint any more.
+  void EndRunsOf(EndpointEntry& aEndpoint,
+                 std::string_view aReason,
+                 SchedulerEffects& aEffects);
   void SuspectFailure(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
@@ -139,6 +143,8 @@
   double FleetFailureRate() const;
   //! Whether an endpoint may run work of another leader unseen.
   bool MayHideRuns() const;
+  //! Forgets endpoints that left the list and cannot run anything.
+  void ForgetEndpoints();
 
   SchedulerPolicy policy_;
   Clock clock_;
