Test a cluster in virtual time under faults; a refused connection proves nothing

Gone members count for a majority, so that a daemon that is alone yields. The new test fails with each of four guards taken out (renewal of unknown runs, takeover doubt, lapse of leases, memory of unlisted endpoints).

--- a/include/hemlockhaven/scheduler/Reports.h
+++ b/include/hemlockhaven/scheduler/Reports.h
@@ -47,7 +47,6 @@
   Unhealthy,        //!< Refused; nothing was done.
   WrongIncarnation, //!< Another incarnation answers at this address.
   NotSent,          //!< No connection; certainly not executed.
-  Refused,          //!< Nothing listens at the address any more.
   Unknown,          //!< No answer; it may have been executed, or may yet be.
 };
 
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -69,7 +69,7 @@
   std::string smallest = self_.name;
   bool smallestPresent = true;
   for (const auto& [address, known] : members_) {
-    if (!known.heard || known.gone || known.last.leaving ||
+    if (!known.heard || known.last.leaving ||
         now_ - known.heardAt > times_.forgetMember) {
       continue;
     }
--- a/src/net/HttpCall.h
+++ b/src/net/HttpCall.h
@@ -35,10 +35,9 @@
 struct HttpResult
 {
   HttpEnd end = HttpEnd::Unknown;
-  bool refused = false; //!< With NotSent: nothing listens there.
-  unsigned status = 0;  //!< With Answered.
-  std::string body;     //!< With Answered.
-  std::string detail;   //!< Otherwise: what went wrong.
+  unsigned status = 0; //!< With Answered.
+  std::string body;    //!< With Answered.
+  std::string detail;  //!< Otherwise: what went wrong.
 };
 
 using HttpDone = std::function<void(HttpResult)>;
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -76,11 +76,7 @@
   stream_.async_connect(
     *endpoint, [self = shared_from_this()](const beast::error_code& aError) {
       if (aError) {
-        HttpResult result;
-        result.end = HttpEnd::NotSent;
-        result.refused = aError == net::error::connection_refused;
-        result.detail = aError.message();
-        self->Finish(std::move(result), false);
+        self->Fail(HttpEnd::NotSent, aError.message());
         return;
       }
       self->connected_ = true;
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -43,7 +43,6 @@
   ListedEndpoint listed;
   bool isListed = true;
   TimePoint unlistedAt{};
-  bool refusesConnections = false; //!< Its process is gone.
   Resources free;
   std::uint32_t runs = 0; //!< Active runs of known work.
   std::vector<OrphanRun> orphans;
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -169,7 +169,6 @@
       gone = "another incarnation";
       break;
     case OrderOutcome::NotSent:
-    case OrderOutcome::Refused:
       endpoint->heard = false;
       gone = "not reachable";
       break;
@@ -220,7 +219,6 @@
     Note(aEffects, "endpoint", "", endpoint, "answers");
   }
   endpoint->heard = true;
-  endpoint->refusesConnections = false;
   const bool first = !endpoint->taken;
   endpoint->taken = true;
   ApplyEnds(*endpoint, aReport, aEffects);
@@ -371,7 +369,6 @@
   endpoint->looking = false;
   endpoint->nextLookAt =
     now_ + (endpoint->isListed ? policy_.lookPause : policy_.unlistedLookPause);
-  endpoint->refusesConnections = aOutcome == OrderOutcome::Refused;
   if (endpoint->heard || endpoint->taken) {
     Note(aEffects,
          "endpoint",
@@ -389,30 +386,6 @@
     endpoint->taken = false;
   }
   endpoint->heard = false;
-  if (endpoint->refusesConnections) {
-    EndRunsOf(*endpoint, "its process is gone", aEffects);
-    Dispatch(aEffects);
-  }
-}
-
-void SchedulerState::EndRunsOf(EndpointEntry& aEndpoint,
-                               std::string_view aReason,
-                               SchedulerEffects& aEffects)
-{
-  aEndpoint.orphans.clear();
-  std::vector<std::string> ids;
-  for (const auto& [id, entry] : works_) {
-    for (TaskEntry& task : entry->Tasks()) {
-      if (task.IsActive() && task.endpoint == aEndpoint.listed.id) {
-        task.avoid = task.endpoint;
-        RunGone(*entry, task, aReason, aEffects);
-        ids.push_back(id);
-      }
-    }
-  }
-  for (const std::string& id : ids) {
-    ForgetIfOver(id, aEffects);
-  }
 }
 
 void SchedulerState::Adopt(WorkEntry& aEntry,
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -341,8 +341,7 @@
     const EndpointEntry& endpoint = entry->second;
     const bool over = !endpoint.isListed && endpoint.runs == 0 &&
                       endpoint.orphans.empty() &&
-                      (endpoint.refusesConnections ||
-                       now_ - endpoint.unlistedAt > policy_.forgetEndpoint);
+                      now_ - endpoint.unlistedAt > policy_.forgetEndpoint;
     entry = over ? endpoints_.erase(entry) : std::next(entry);
   }
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -104,10 +104,6 @@
   void ApplyRunning(EndpointEntry& aEndpoint,
                     const LookReport& aReport,
                     SchedulerEffects& aEffects);
-  //! Nothing runs at the endpoint any more.
-  void EndRunsOf(EndpointEntry& aEndpoint,
-                 std::string_view aReason,
-                 SchedulerEffects& aEffects);
   void SuspectFailure(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
--- /dev/null
+++ b/tests/coordinator/ClusterTest.cpp
@@ -0,0 +1,181 @@
+#include "support/Cluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <string>
+
+using namespace hemlockhaven;
+using namespace hemlockhaven::Testing;
+
+namespace {
+
+constexpr Duration kSecond{ 1000000 };
+
+Work MakeWork(const std::string& aId,
+              std::uint32_t aTasks,
+              std::int64_t aCpuMillis,
+              Duration aEstimate)
+{
+  Work work;
+  work.id = aId;
+  work.kind = aId.substr(0, 1);
+  WorkStep step;
+  step.count = aTasks;
+  step.each = { aCpuMillis, 64, 0 };
+  step.estimate = aEstimate;
+  work.steps.push_back(step);
+  work.attempts = 3;
+  work.stretch = 1.6;
+  work.targetLatency = Duration(60000);
+  work.patience = 6 * kSecond;
+  return work;
+}
+
+bool IsLong(const std::string& aId)
+{
+  return aId.rfind("long", 0) == 0;
+}
+
+//! A fault in the middle of steady work on 5 daemons in 3 zones.
+struct FaultRow
+{
+  const char* guardsAgainst;
+  std::function<void(Cluster&)> fault;
+  double leastCompleted; //!< Share of the work.
+};
+
+const FaultRow kFaultRows[] = {
+  { "losing work without a fault", [](Cluster&) {}, 1 },
+  { "losing the work of a dead leader",
+    [](Cluster& a) {
+      for (std::size_t i = 0; i < 5; ++i) {
+        a.Kill(i);
+        a.Time().RunFor(Duration(700000));
+        a.Restart(i);
+        a.Time().RunFor(Duration(800000));
+      }
+    },
+    0.9 },
+  { "a paused leader that goes on as if nothing happened",
+    [](Cluster& a) {
+      for (std::size_t i = 0; i < 5; ++i) {
+        a.Pause(i, 2 * kSecond);
+        a.Time().RunFor(Duration(1500000));
+      }
+    },
+    0.5 },
+  { "two leaders on both sides of a cut that start the same task",
+    [](Cluster& a) {
+      for (std::size_t zone = 0; zone < 3; ++zone) {
+        a.CutZone(zone, true);
+        a.Time().RunFor(2 * kSecond);
+        a.CutZone(zone, false);
+        a.Time().RunFor(kSecond);
+      }
+    },
+    0.6 },
+  { "forgetting endpoints that leave the list during a cut",
+    [](Cluster& a) {
+      for (std::size_t zone = 0; zone < 3; ++zone) {
+        a.CutZone(zone, true);
+        a.Time().RunFor(kSecond);
+        a.List({ zone, zone + 3, zone + 6, zone + 9 });
+        a.Time().RunFor(2 * kSecond);
+        a.CutZone(zone, false);
+        a.Time().RunFor(kSecond);
+        a.List();
+      }
+    },
+    0.6 },
+  { "a restart before the lease of a silent endpoint lapsed",
+    [](Cluster& a) {
+      a.SetSilent(0, true);
+      a.SetSilent(5, true);
+      a.Time().RunFor(3 * kSecond);
+      a.SetSilent(0, false);
+      a.SetSilent(5, false);
+    },
+    0.8 },
+  { "waiting for runs of an endpoint that crashed",
+    [](Cluster& a) {
+      for (std::size_t i = 0; i < 4; ++i) {
+        a.CrashEndpoint(i);
+        a.Time().RunFor(kSecond);
+      }
+    },
+    0.9 },
+  { "sending work to an endpoint that fails all",
+    [](Cluster& a) {
+      a.Endpoint(2).failsAll = true;
+      a.Time().RunFor(5 * kSecond);
+    },
+    0.9 },
+  { "all daemons gone at once",
+    [](Cluster& a) {
+      for (std::size_t i = 0; i < 5; ++i) {
+        a.Kill(i);
+      }
+      a.Time().RunFor(kSecond);
+      for (std::size_t i = 0; i < 5; ++i) {
+        a.Restart(i);
+      }
+    },
+    0.6 },
+};
+
+//! Steady work at about 60% of the endpoints while the fault goes on.
+void Check(const FaultRow& aRow, std::uint64_t aSeed)
+{
+  Cluster::Options options;
+  options.daemons = 5;
+  options.zones = 3;
+  options.endpoints = 12;
+  options.speeds = { 0.6, 1.0, 1.4 };
+  options.seed = aSeed;
+  Cluster cluster(options);
+  // A third of the tasks outlives the detection of any fault.
+  cluster.work = [](const TaskKey& aTask) {
+    return IsLong(aTask.workId) ? Duration(1500000) : Duration(100000);
+  };
+  constexpr int kWorks = 400;
+  for (int i = 0; i < kWorks; ++i) {
+    cluster.Time().After(i * Duration(25000), [&cluster, i] {
+      const std::string id = (i % 3 == 0 ? "long" : "w") + std::to_string(i);
+      const bool isLong = IsLong(id);
+      cluster.Submit(static_cast<std::size_t>(i % 5),
+                     MakeWork(id,
+                              isLong ? 1 : 2,
+                              isLong ? 4000 : 6000,
+                              Duration(isLong ? 1500000 : 100000)));
+    });
+  }
+  cluster.Time().RunFor(kSecond);
+  aRow.fault(cluster);
+  cluster.Time().RunFor(20 * kSecond);
+
+  std::size_t completed = 0;
+  for (const auto& [id, answer] : cluster.Answers()) {
+    completed += answer.answer.outcome == CallerOutcome::Completed ? 1 : 0;
+  }
+  const std::string what = std::string(aRow.guardsAgainst) + ", seed " +
+                           std::to_string(aSeed) + ", completed " +
+                           std::to_string(completed);
+  CHECK_TEXT(cluster.Doubled().empty(), what.c_str());
+  CHECK_TEXT(static_cast<double>(completed) >= aRow.leastCompleted * kWorks,
+             what.c_str());
+  UNSIGNED_LONGS_EQUAL_TEXT(1, cluster.Leaders(), what.c_str());
+}
+
+}
+
+TEST_GROUP(Cluster){};
+
+TEST(Cluster, NoTaskRunsTwiceUnderFaults)
+{
+  for (const FaultRow& row : kFaultRows) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      Check(row, seed);
+    }
+  }
+}
--- /dev/null
+++ b/tests/support/Cluster.cpp
@@ -0,0 +1,377 @@
+#include "support/Cluster.h"
+
+#include <algorithm>
+
+namespace hemlockhaven::Testing {
+
+namespace {
+
+constexpr Duration kTick{ 25000 };
+constexpr Duration kSendAgain{ 1300000 };
+//! An order without an answer is given up after this.
+constexpr Duration kOrderTimeout{ 250000 };
+constexpr const char* kService = "repairs";
+
+std::string NameOf(const TaskKey& aTask)
+{
+  return aTask.workId + "." + std::to_string(aTask.step) + "." +
+         std::to_string(aTask.index);
+}
+
+}
+
+Cluster::Cluster(const Options& aOptions)
+  : options_(aOptions)
+  , dice_(aOptions.seed)
+{
+  for (std::size_t i = 0; i < aOptions.endpoints; ++i) {
+    endpoints_.push_back(std::make_unique<FakeEndpoint>(
+      time_,
+      "e" + std::to_string(i),
+      aOptions.capacity,
+      aOptions.speeds[i % aOptions.speeds.size()],
+      [this](const TaskKey& aTask) { return work(aTask); },
+      [this](const TaskKey& aTask, bool aBegan) {
+        const std::string name = NameOf(aTask);
+        int& active = active_[name];
+        active += aBegan ? 1 : -1;
+        runs_ += aBegan ? 1 : 0;
+        if (active > 1) {
+          doubled_.push_back(name);
+        }
+      }));
+  }
+  daemons_.resize(aOptions.daemons);
+  for (std::size_t i = 0; i < aOptions.daemons; ++i) {
+    daemons_[i].zone = i % aOptions.zones;
+  }
+  for (std::size_t i = 0; i < aOptions.daemons; ++i) {
+    Begin(i);
+  }
+  List();
+  constexpr Duration kSettle{ 1500000 };
+  time_.RunFor(kSettle);
+}
+
+Duration Cluster::Delay()
+{
+  return Duration(400 + static_cast<std::int64_t>(dice_.NextShare() * 1200));
+}
+
+bool Cluster::Reaches(std::size_t aZone, std::size_t aOther) const
+{
+  return aZone == aOther ||
+         (cutZones_.count(aZone) == 0 && cutZones_.count(aOther) == 0);
+}
+
+void Cluster::Begin(std::size_t aDaemon)
+{
+  Node& node = daemons_[aDaemon];
+  node.up = true;
+  ++node.life;
+  node.member.name = "d" + std::to_string(aDaemon);
+  node.member.address = node.member.name;
+  node.member.cores = 1;
+  node.member.incarnation = node.life;
+  node.coordinator = std::make_unique<Coordinator>(
+    node.member,
+    SchedulerPolicy(),
+    ElectionTimes(),
+    MakeHooks(aDaemon),
+    time_.AsClock(),
+    [this] {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(
+               time_.Now().time_since_epoch())
+        .count();
+    });
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    Member member;
+    member.address = "d" + std::to_string(other);
+    node.coordinator->Meet(member);
+  }
+  node.coordinator->SetEndpoints(listed_);
+  node.coordinator->SetCanLead(true, "");
+  ScheduleTick(aDaemon, node.life);
+}
+
+void Cluster::ScheduleTick(std::size_t aDaemon, std::uint64_t aLife)
+{
+  Deliver(aDaemon, aLife, kTick, [this, aDaemon, aLife](Coordinator& a) {
+    a.Tick();
+    ScheduleTick(aDaemon, aLife);
+  });
+}
+
+void Cluster::Deliver(std::size_t aDaemon,
+                      std::uint64_t aLife,
+                      Duration aDelay,
+                      std::function<void(Coordinator&)> aEvent)
+{
+  time_.After(aDelay, [this, aDaemon, aLife, event = std::move(aEvent)] {
+    Node& node = daemons_[aDaemon];
+    if (!node.up || node.life != aLife) {
+      return;
+    }
+    if (time_.Now() < node.pausedUntil) {
+      // What arrives while the process stands still is read afterwards.
+      Deliver(aDaemon, aLife, node.pausedUntil - time_.Now(), event);
+      return;
+    }
+    event(*node.coordinator);
+  });
+}
+
+void Cluster::ToMember(std::size_t aFrom,
+                       std::string_view aName,
+                       std::function<void(Coordinator&)> aEvent)
+{
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    if (daemons_[i].member.name == aName && daemons_[i].up &&
+        Reaches(daemons_[aFrom].zone, daemons_[i].zone)) {
+      Deliver(i, daemons_[i].life, Delay(), std::move(aEvent));
+      return;
+    }
+  }
+}
+
+std::size_t Cluster::EndpointIndex(const std::string& aId) const
+{
+  return std::stoul(aId.substr(1));
+}
+
+void Cluster::ToEndpoint(std::size_t aFrom,
+                         const std::string& aId,
+                         std::function<void(FakeEndpoint&)> aOrder,
+                         std::function<void(Coordinator&)> aLost)
+{
+  const std::size_t index = EndpointIndex(aId);
+  const std::uint64_t life = daemons_[aFrom].life;
+  if (silent_.count(index) > 0 ||
+      !Reaches(daemons_[aFrom].zone, index % options_.zones)) {
+    Deliver(aFrom, life, kOrderTimeout, std::move(aLost));
+    return;
+  }
+  time_.After(Delay(), [this, index, order = std::move(aOrder)] {
+    order(*endpoints_[index]);
+  });
+}
+
+CoordinatorHooks Cluster::MakeHooks(std::size_t aDaemon)
+{
+  const std::uint64_t life = daemons_[aDaemon].life;
+  const std::string name = "d" + std::to_string(aDaemon);
+  // The answer of an endpoint is lost if a cut begins while it is under way.
+  const auto answer =
+    [this, aDaemon, life](const std::string& aId, auto aDone, auto aReply) {
+      const std::size_t index = EndpointIndex(aId);
+      if (silent_.count(index) > 0 ||
+          !Reaches(daemons_[aDaemon].zone, index % options_.zones)) {
+        Deliver(
+          aDaemon, life, kOrderTimeout, [aDone](Coordinator&) { aDone({}); });
+        return;
+      }
+      Deliver(aDaemon, life, Delay(), [aDone, aReply](Coordinator&) {
+        aDone(aReply);
+      });
+    };
+  CoordinatorHooks hooks;
+  hooks.sendBeat = [this, aDaemon](const Member& aMember, const Beat& aBeat) {
+    ToMember(aDaemon, aMember.address, [aBeat](Coordinator& a) {
+      a.HeardBeat(aBeat);
+    });
+  };
+  hooks.sendWork = [this, aDaemon, name](std::string_view aMember,
+                                         const Work& aWork) {
+    ToMember(aDaemon, aMember, [name, aWork](Coordinator& a) {
+      a.HeardWork(name, aWork);
+    });
+  };
+  hooks.sendAnswer = [this, aDaemon, name](std::string_view aMember,
+                                           const WorkAnswer& aAnswer) {
+    ToMember(aDaemon, aMember, [name, aAnswer](Coordinator& a) {
+      a.HeardAnswer(name, aAnswer);
+    });
+  };
+  hooks.sendCancel = [this, aDaemon, name](std::string_view aMember,
+                                           std::string_view aWorkId,
+                                           std::string_view aReason) {
+    ToMember(aDaemon,
+             aMember,
+             [name, id = std::string(aWorkId), reason = std::string(aReason)](
+               Coordinator& a) { a.HeardCancel(name, id, reason); });
+  };
+  hooks.start = [this, aDaemon, answer](const StartOrder& aOrder, auto aDone) {
+    const std::string id = aOrder.target.endpoint;
+    ToEndpoint(
+      aDaemon,
+      id,
+      [this, aOrder, id, aDone, answer](FakeEndpoint& aEndpoint) {
+        answer(
+          id, aDone, aEndpoint.Start(aOrder, sizes_[aOrder.run.task.workId]));
+      },
+      [aDone](Coordinator&) { aDone(OrderReply()); });
+  };
+  hooks.stop = [this, aDaemon, answer](const StopOrder& aOrder, auto aDone) {
+    const std::string id = aOrder.target.endpoint;
+    ToEndpoint(
+      aDaemon,
+      id,
+      [aOrder, id, aDone, answer](FakeEndpoint& aEndpoint) {
+        answer(id, aDone, aEndpoint.Stop(aOrder));
+      },
+      [aDone](Coordinator&) { aDone(OrderReply()); });
+  };
+  hooks.look = [this, aDaemon, answer](const LookOrder& aOrder, auto aDone) {
+    const std::string id = aOrder.target.endpoint;
+    ToEndpoint(
+      aDaemon,
+      id,
+      [aOrder, id, aDone, answer](FakeEndpoint& aEndpoint) {
+        aEndpoint.Look(aOrder, [id, aDone, answer](const LookResult& aResult) {
+          answer(id, aDone, aResult);
+        });
+      },
+      [aDone](Coordinator&) { aDone(LookResult()); });
+  };
+  hooks.note = [](const Decision&) {};
+  return hooks;
+}
+
+void Cluster::Submit(std::size_t aDaemon, Work aWork)
+{
+  sizes_[aWork.id] = aWork.steps.front().each;
+  aWork.service = kService;
+  CallerWaits(aDaemon, aWork, time_.Now());
+}
+
+void Cluster::CallerWaits(std::size_t aDaemon,
+                          const Work& aWork,
+                          TimePoint aSent)
+{
+  if (!daemons_[aDaemon].up) {
+    SendAgain(aWork, aSent);
+    return;
+  }
+  waiting_[aWork.id] = { aDaemon, { aWork, aSent } };
+  const std::uint64_t life = daemons_[aDaemon].life;
+  Deliver(
+    aDaemon, life, Delay(), [this, aDaemon, aWork, aSent](Coordinator& a) {
+      a.Accept(
+        aWork, [this, aDaemon, aWork, aSent](const CallerAnswer& aAnswer) {
+          const auto found = waiting_.find(aWork.id);
+          if (found == waiting_.end() || found->second.first != aDaemon) {
+            return;
+          }
+          waiting_.erase(found);
+          if (aAnswer.outcome == CallerOutcome::TimedOut) {
+            SendAgain(aWork, aSent);
+          } else {
+            answers_[aWork.id] = { aAnswer, time_.Now() - aSent };
+          }
+        });
+    });
+}
+
+void Cluster::SendAgain(const Work& aWork, TimePoint aSent)
+{
+  const auto daemon = static_cast<std::size_t>(
+    dice_.NextShare() * static_cast<double>(daemons_.size()));
+  time_.After(kSendAgain, [this, daemon, aWork, aSent] {
+    if (time_.Now() - aSent < aWork.patience) {
+      CallerWaits(daemon, aWork, aSent);
+    }
+  });
+}
+
+void Cluster::Kill(std::size_t aDaemon)
+{
+  Node& node = daemons_[aDaemon];
+  if (!node.up) {
+    return;
+  }
+  node.up = false;
+  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+    if (other != aDaemon && Reaches(node.zone, daemons_[other].zone)) {
+      Deliver(other,
+              daemons_[other].life,
+              Delay(),
+              [name = node.member.name](Coordinator& a) { a.LinkLost(name); });
+    }
+  }
+  std::vector<std::pair<Work, TimePoint>> orphaned;
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    if (entry->second.first == aDaemon) {
+      orphaned.push_back(entry->second.second);
+      entry = waiting_.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  for (const auto& [lost, sent] : orphaned) {
+    SendAgain(lost, sent);
+  }
+}
+
+void Cluster::Restart(std::size_t aDaemon)
+{
+  if (!daemons_[aDaemon].up) {
+    Begin(aDaemon);
+  }
+}
+
+void Cluster::Pause(std::size_t aDaemon, Duration aFor)
+{
+  daemons_[aDaemon].pausedUntil = time_.Now() + aFor;
+}
+
+void Cluster::CutZone(std::size_t aZone, bool aCut)
+{
+  if (aCut) {
+    cutZones_.insert(aZone);
+  } else {
+    cutZones_.erase(aZone);
+  }
+}
+
+void Cluster::SetSilent(std::size_t aEndpoint, bool aSilent)
+{
+  if (aSilent) {
+    silent_.insert(aEndpoint);
+  } else {
+    silent_.erase(aEndpoint);
+  }
+}
+
+void Cluster::List(const std::set<std::size_t>& aWithout)
+{
+  listed_.clear();
+  for (std::size_t i = 0; i < endpoints_.size(); ++i) {
+    if (aWithout.count(i) == 0) {
+      listed_.push_back(endpoints_[i]->Listed(kService));
+    }
+  }
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    if (daemons_[i].up) {
+      daemons_[i].coordinator->SetEndpoints(listed_);
+    }
+  }
+}
+
+std::size_t Cluster::Leaders() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(daemons_.begin(), daemons_.end(), [](const Node& aNode) {
+      return aNode.up && aNode.coordinator->IsLeading();
+    }));
+}
+
+std::size_t Cluster::RejectedStarts() const
+{
+  std::size_t sum = 0;
+  for (const auto& endpoint : endpoints_) {
+    sum += endpoint->Rejected();
+  }
+  return sum;
+}
+
+}
--- /dev/null
+++ b/tests/support/Cluster.h
@@ -0,0 +1,131 @@
+#ifndef HEMLOCKHAVEN_TESTS_SUPPORT_CLUSTER_H
+#define HEMLOCKHAVEN_TESTS_SUPPORT_CLUSTER_H
+
+#include "hemlockhaven/coordinator/Coordinator.h"
+#include "hemlockhaven/fleet/Dice.h"
+#include "support/FakeEndpoint.h"
+#include "support/VirtualTime.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockhaven::Testing {
+
+//! What became of a submission.
+struct ClusterAnswer
+{
+  CallerAnswer answer;
+  Duration took{ 0 };
+};
+
+//! Daemons and endpoints over a network in virtual time, with zones that can be
+//! cut off and daemons that die, and a check that no task runs twice at once.
+class Cluster
+{
+public:
+  struct Options
+  {
+    std::size_t daemons = 1;
+    std::size_t zones = 1;
+    std::size_t endpoints = 6;
+    Resources capacity{ 16000, 65536, 0 };
+    std::vector<double> speeds{ 1 };
+    std::uint64_t seed = 1;
+  };
+
+  explicit Cluster(const Options& aOptions);
+
+  VirtualTime& Time() { return time_; }
+  Dice& Random() { return dice_; }
+
+  //! Hands work to a daemon; its answer appears in Answers. The caller sends it
+  //! again after 1.3 s if the daemon dies or says that it timed out.
+  void Submit(std::size_t aDaemon, Work aWork);
+
+  void Kill(std::size_t aDaemon);
+  void Restart(std::size_t aDaemon);
+  void Pause(std::size_t aDaemon, Duration aFor);
+  void CutZone(std::size_t aZone, bool aCut);
+  void CrashEndpoint(std::size_t aEndpoint) { endpoints_[aEndpoint]->Crash(); }
+  FakeEndpoint& Endpoint(std::size_t aEndpoint)
+  {
+    return *endpoints_[aEndpoint];
+  }
+  //! Orders to the endpoint vanish, unanswered.
+  void SetSilent(std::size_t aEndpoint, bool aSilent);
+  //! Tells all daemons which endpoints there are, as the list would.
+  void List(const std::set<std::size_t>& aWithout = {});
+
+  bool IsUp(std::size_t aDaemon) const { return daemons_[aDaemon].up; }
+  std::size_t Leaders() const;
+  const std::map<std::string, ClusterAnswer>& Answers() const
+  {
+    return answers_;
+  }
+  //! Tasks of which two runs existed at once.
+  const std::vector<std::string>& Doubled() const { return doubled_; }
+  std::size_t Runs() const { return runs_; }
+  std::size_t RejectedStarts() const;
+
+  //! Run time of a task at speed 1; see FakeEndpoint.
+  FakeEndpoint::WorkHook work = [](const TaskKey&) { return Duration(100000); };
+
+private:
+  struct Node
+  {
+    std::unique_ptr<Coordinator> coordinator;
+    Member member;
+    std::size_t zone = 0;
+    bool up = false;
+    std::uint64_t life = 0;
+    TimePoint pausedUntil{};
+  };
+
+  void Begin(std::size_t aDaemon);
+  CoordinatorHooks MakeHooks(std::size_t aDaemon);
+  //! Runs the event at the daemon after the delay if it still lives then.
+  void Deliver(std::size_t aDaemon,
+               std::uint64_t aLife,
+               Duration aDelay,
+               std::function<void(Coordinator&)> aEvent);
+  void ToMember(std::size_t aFrom,
+                std::string_view aName,
+                std::function<void(Coordinator&)> aEvent);
+  void ToEndpoint(std::size_t aFrom,
+                  const std::string& aId,
+                  std::function<void(FakeEndpoint&)> aOrder,
+                  std::function<void(Coordinator&)> aLost);
+  bool Reaches(std::size_t aZone, std::size_t aOther) const;
+  std::size_t EndpointIndex(const std::string& aId) const;
+  void ScheduleTick(std::size_t aDaemon, std::uint64_t aLife);
+  void CallerWaits(std::size_t aDaemon, const Work& aWork, TimePoint aSent);
+  void SendAgain(const Work& aWork, TimePoint aSent);
+  Duration Delay();
+
+  Options options_;
+  VirtualTime time_;
+  Dice dice_;
+  std::vector<Node> daemons_;
+  std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
+  std::set<std::size_t> silent_;
+  std::set<std::size_t> cutZones_;
+  std::vector<ListedEndpoint> listed_;
+  std::map<std::string, ClusterAnswer> answers_;
+  std::map<std::string, int> active_; //!< Runs of each task.
+  std::map<std::string, Resources> sizes_;
+  //! Where each caller that has no answer yet waits.
+  std::map<std::string, std::pair<std::size_t, std::pair<Work, TimePoint>>>
+    waiting_;
+  std::vector<std::string> doubled_;
+  std::size_t runs_ = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/tests/support/FakeEndpoint.cpp
@@ -0,0 +1,234 @@
+#include "support/FakeEndpoint.h"
+
+#include <algorithm>
+
+namespace hemlockhaven::Testing {
+
+namespace {
+
+//! Longest lease that is granted.
+constexpr std::int64_t kMostLeaseMs = 1000;
+
+std::string NameOf(const TaskKey& aTask)
+{
+  return aTask.workId + "." + std::to_string(aTask.step) + "." +
+         std::to_string(aTask.index);
+}
+
+}
+
+FakeEndpoint::FakeEndpoint(VirtualTime& aTime,
+                           std::string aId,
+                           Resources aCapacity,
+                           double aSpeed,
+                           WorkHook aWork,
+                           RunHook aRunHook)
+  : speed(aSpeed)
+  , time_(aTime)
+  , id_(std::move(aId))
+  , capacity_(aCapacity)
+  , free_(aCapacity)
+  , work_(std::move(aWork))
+  , runHook_(std::move(aRunHook))
+  , startedAt_(aTime.Now())
+{
+}
+
+ListedEndpoint FakeEndpoint::Listed(const std::string& aService) const
+{
+  ListedEndpoint listed;
+  listed.id = id_;
+  listed.address = id_;
+  listed.service = aService;
+  listed.capacity = capacity_;
+  return listed;
+}
+
+std::int64_t FakeEndpoint::ClockMs() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time_.Now() -
+                                                               startedAt_)
+           .count() +
+         1;
+}
+
+void FakeEndpoint::Extend(std::int64_t aDeadlineClockMs)
+{
+  leaseClockMs_ = std::max(
+    leaseClockMs_, std::min(aDeadlineClockMs, ClockMs() + kMostLeaseMs));
+  time_.After(std::chrono::milliseconds(
+                std::max<std::int64_t>(0, leaseClockMs_ - ClockMs()) + 1),
+              [this] { CheckLease(); });
+}
+
+void FakeEndpoint::CheckLease()
+{
+  if (ClockMs() <= leaseClockMs_) {
+    return;
+  }
+  while (!running_.empty()) {
+    End(running_.begin()->first, RunEnd::Lapsed);
+  }
+}
+
+OrderReply FakeEndpoint::Start(const StartOrder& aOrder, const Resources& aEach)
+{
+  const std::string name = NameOf(aOrder.run.task);
+  const auto reply = [this](OrderOutcome aOutcome) {
+    rejected_ += aOutcome == OrderOutcome::NoRoom ? 1 : 0;
+    return OrderReply{ aOutcome, ClockMs() };
+  };
+  if (aOrder.target.fencingToken < token_) {
+    return reply(OrderOutcome::Fenced);
+  }
+  token_ = aOrder.target.fencingToken;
+  if (aOrder.deadlineClockMs < ClockMs()) {
+    return reply(OrderOutcome::Expired);
+  }
+  const auto found = running_.find(name);
+  if (found != running_.end() &&
+      found->second.second.number == aOrder.run.run) {
+    return reply(OrderOutcome::Accepted);
+  }
+  const auto before = highestEnded_.find(name);
+  if (found != running_.end() ||
+      (before != highestEnded_.end() && aOrder.run.run <= before->second)) {
+    return reply(OrderOutcome::Superseded);
+  }
+  if (!aEach.FitsInto(free_)) {
+    return reply(OrderOutcome::NoRoom);
+  }
+  free_ -= aEach;
+  const std::uint64_t serial = ++serial_;
+  running_[name] = { aOrder.run.task, { aOrder.run.run, aEach, serial } };
+  runHook_(aOrder.run.task, true);
+  Extend(aOrder.deadlineClockMs);
+  const Duration work = failsAll ? Duration(-1) : work_(aOrder.run.task);
+  if (work == Duration(0)) {
+    return reply(OrderOutcome::Accepted); // Hangs.
+  }
+  const RunEnd how = work < Duration(0) ? RunEnd::Failed : RunEnd::Done;
+  const auto took = work < Duration(0)
+                      ? Duration(1000)
+                      : Duration(static_cast<std::int64_t>(
+                          static_cast<double>(work.count()) / speed));
+  time_.After(took, [this, serial, name, how] { Finish(serial, name, how); });
+  return reply(OrderOutcome::Accepted);
+}
+
+OrderReply FakeEndpoint::Stop(const StopOrder& aOrder)
+{
+  if (aOrder.target.fencingToken < token_) {
+    return { OrderOutcome::Fenced, ClockMs() };
+  }
+  token_ = aOrder.target.fencingToken;
+  const std::string name = NameOf(aOrder.run.task);
+  auto& highest = highestEnded_[name];
+  highest = std::max(highest, aOrder.run.run);
+  const auto found = running_.find(name);
+  if (found != running_.end() &&
+      found->second.second.number == aOrder.run.run) {
+    End(name, RunEnd::Stopped);
+  }
+  return { OrderOutcome::Accepted, ClockMs() };
+}
+
+void FakeEndpoint::Finish(std::uint64_t aSerial,
+                          const std::string& aTask,
+                          RunEnd aHow)
+{
+  const auto found = running_.find(aTask);
+  if (found != running_.end() && found->second.second.serial == aSerial) {
+    End(aTask, aHow);
+  }
+}
+
+void FakeEndpoint::End(const std::string& aTask, RunEnd aHow)
+{
+  const auto ended = running_.extract(aTask);
+  const auto& [task, run] = ended.mapped();
+  free_ += run.each;
+  auto& highest = highestEnded_[aTask];
+  highest = std::max(highest, run.number);
+  ended_.push_back({ ++position_, { task, run.number }, aHow });
+  runHook_(task, false);
+  std::vector<WaitingLook> looks;
+  looks.swap(looks_);
+  for (const WaitingLook& look : looks) {
+    look.done(Report());
+  }
+}
+
+LookResult FakeEndpoint::Report() const
+{
+  LookResult result;
+  result.outcome = OrderOutcome::Accepted;
+  result.report.bornMs = bornMs_;
+  result.report.clockMs = ClockMs();
+  for (const auto& [name, run] : running_) {
+    result.report.running.push_back({ run.first, run.second.number });
+  }
+  result.report.ended = ended_;
+  return result;
+}
+
+void FakeEndpoint::Look(const LookOrder& aOrder,
+                        std::function<void(LookResult)> aDone)
+{
+  if (aOrder.target.fencingToken < token_) {
+    LookResult fenced;
+    fenced.outcome = OrderOutcome::Fenced;
+    aDone(fenced);
+    return;
+  }
+  token_ = aOrder.target.fencingToken;
+  if (aOrder.deadlineClockMs > 0) {
+    Extend(aOrder.deadlineClockMs);
+  }
+  ended_.erase(std::remove_if(ended_.begin(),
+                              ended_.end(),
+                              [&aOrder](const EndedRun& aEnded) {
+                                return aEnded.position <= aOrder.ackPosition;
+                              }),
+               ended_.end());
+  if (!ended_.empty() || aOrder.wait <= Duration(0)) {
+    aDone(Report());
+    return;
+  }
+  const std::uint64_t serial = ++serial_;
+  looks_.push_back({ serial, std::move(aDone) });
+  time_.After(aOrder.wait, [this, serial] {
+    const auto found =
+      std::find_if(looks_.begin(), looks_.end(), [serial](const auto& aLook) {
+        return aLook.serial == serial;
+      });
+    if (found != looks_.end()) {
+      const auto done = std::move(found->done);
+      looks_.erase(found);
+      done(Report());
+    }
+  });
+}
+
+void FakeEndpoint::Crash()
+{
+  for (const auto& [name, run] : running_) {
+    runHook_(run.first, false);
+  }
+  running_.clear();
+  highestEnded_.clear();
+  ended_.clear();
+  std::vector<WaitingLook> looks;
+  looks.swap(looks_);
+  free_ = capacity_;
+  position_ = 0;
+  token_ = 0;
+  leaseClockMs_ = 0;
+  startedAt_ = time_.Now();
+  ++bornMs_;
+  for (const WaitingLook& look : looks) {
+    look.done(LookResult()); // The connection is reset.
+  }
+}
+
+}
--- /dev/null
+++ b/tests/support/FakeEndpoint.h
@@ -0,0 +1,88 @@
+#ifndef HEMLOCKHAVEN_TESTS_SUPPORT_FAKEENDPOINT_H
+#define HEMLOCKHAVEN_TESTS_SUPPORT_FAKEENDPOINT_H
+
+#include "hemlockhaven/coordinator/Coordinator.h"
+#include "support/VirtualTime.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockhaven::Testing {
+
+//! An endpoint with the platform's rules for tokens, leases, run numbers and
+//! lists of ends. Work is timed by a hook.
+class FakeEndpoint
+{
+public:
+  //! Run time of a task at speed 1; negative: it fails at once; zero: it hangs.
+  using WorkHook = std::function<Duration(const TaskKey&)>;
+  //! A run began (true) or ended (false).
+  using RunHook = std::function<void(const TaskKey&, bool aBegan)>;
+
+  FakeEndpoint(VirtualTime& aTime,
+               std::string aId,
+               Resources aCapacity,
+               double aSpeed,
+               WorkHook aWork,
+               RunHook aRunHook);
+
+  ListedEndpoint Listed(const std::string& aService) const;
+
+  OrderReply Start(const StartOrder& aOrder, const Resources& aEach);
+  OrderReply Stop(const StopOrder& aOrder);
+  //! Answers at the next end, or when the look's wait is over.
+  void Look(const LookOrder& aOrder, std::function<void(LookResult)> aDone);
+
+  //! Ends everything and forgets all but the id.
+  void Crash();
+
+  double speed = 1;
+  bool failsAll = false;
+  std::size_t Rejected() const { return rejected_; }
+
+private:
+  struct Run
+  {
+    std::uint32_t number = 0;
+    Resources each;
+    std::uint64_t serial = 0;
+  };
+  struct WaitingLook
+  {
+    std::uint64_t serial = 0;
+    std::function<void(LookResult)> done;
+  };
+
+  std::int64_t ClockMs() const;
+  void Extend(std::int64_t aDeadlineClockMs);
+  void End(const std::string& aTask, RunEnd aHow);
+  void Finish(std::uint64_t aSerial, const std::string& aTask, RunEnd aHow);
+  void CheckLease();
+  LookResult Report() const;
+
+  VirtualTime& time_;
+  std::string id_;
+  Resources capacity_;
+  Resources free_;
+  WorkHook work_;
+  RunHook runHook_;
+  TimePoint startedAt_;
+  std::int64_t bornMs_ = 1;
+  std::uint64_t token_ = 0;
+  std::int64_t leaseClockMs_ = 0;
+  std::map<std::string, std::pair<TaskKey, Run>> running_;
+  std::map<std::string, std::uint32_t> highestEnded_;
+  std::vector<EndedRun> ended_;
+  std::uint64_t position_ = 0;
+  std::uint64_t serial_ = 0;
+  std::vector<WaitingLook> looks_;
+  std::size_t rejected_ = 0;
+};
+
+}
+
+#endif
