--- a/include/hemlockhaven/leadership/Beat.h
+++ b/include/hemlockhaven/leadership/Beat.h
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKHAVEN_LEADERSHIP_BEAT_H
 #define HEMLOCKHAVEN_LEADERSHIP_BEAT_H
 
+#include "hemlockhaven/core/Time.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +27,7 @@
   std::uint64_t echo = 0;         //!< Highest sequence heard from the receiver.
   std::uint64_t leaderToken = 0;  //!< Fencing token of its term; 0: no leader.
   std::uint64_t highestToken = 0; //!< Highest token that it has heard of.
+  Duration interval{ 0 };         //!< Until the next beat to the same receiver.
   bool canLead = false;           //!< Knows endpoints and does not stop.
   bool leaving = false;
   std::vector<Member> known; //!< So that members find each other.
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -20,21 +20,34 @@
 //! Times of an election.
 struct ElectionTimes
 {
-  //! Pause between beats to each member.
-  Duration beat{ 100000 };
+  //! Pause between beats of daemons that matter to each other: leaders,
+  //! those that may follow them, and all in a small group.
+  Duration beat{ 70000 };
+  //! Pause between beats of any other two, and to addresses that are silent.
+  Duration slowBeat{ 700000 };
   //! A member that is not heard, or that does not hear us, for so long is
-  //! taken to be lost: five beats.
-  Duration memberTimeout{ 500000 };
-  //! A leader that lost sight of a front ends its work after this. Fronts wait
-  //! longer before they hand work to another leader that may not see its runs.
-  Duration settle{ 150000 };
-  //! Time to find other members after the start.
-  Duration discovery{ 350000 };
+  //! taken to be lost: five beats. Longer by as much as its beats are slower.
+  Duration memberTimeout{ 350000 };
+  //! A daemon waits so long without a leader before it leads, since members do
+  //! not lose a leader at the same moment.
+  Duration settle{ 60000 };
+  //! Time to hear other members after this process stood still.
+  Duration resume{ 150000 };
+  //! Time to find other members after the start: daemons that start together
+  //! do so within 0.4 s.
+  Duration discovery{ 500000 };
   //! After another leader took its endpoints, a minority stays away for this,
   //! doubled each time up to eight times.
   Duration fencedPause{ 2000000 };
   //! Members that were not seen for so long do not count for a majority.
   Duration forgetMember{ 30000000 };
+  //! Pause before endpoints are taken back a second time in a row, doubled each
+  //! time: another leader shows up within a few beats.
+  Duration retakePause{ 40000 };
+  //! Daemons that may follow a leader, in order of preference.
+  std::size_t successors = 3;
+  //! Up to so many members all beat fast.
+  std::size_t smallGroup = 12;
 };
 
 //! What changed, in order.
@@ -95,20 +108,27 @@
     bool alive = false;
     bool gone = false; //!< Its link ended; not only silent.
     TimePoint heardAt{};
+    TimePoint lostAt{}; //!< What was heard before does not count any more.
     std::uint64_t heardSequence = 0;
     Beat last;
     //! When beats that may still be echoed were sent.
     std::map<std::uint64_t, TimePoint> sent;
     TimePoint echoedAt{}; //!< When the last echoed beat was sent.
     TimePoint beatAt{};
+    Duration interval{ 0 }; //!< Of beats to it.
   };
 
   bool IsAlive(const Known& aKnown) const;
+  Duration TimeoutOf(const Known& aKnown) const;
+  //! Sets how often each member gets beats.
+  void PlanBeats();
   bool HasMajority() const;
   void Lose(Known& aKnown, ElectionEffects& aEffects);
   void Elect(ElectionEffects& aEffects);
   //! Leads with a token that many rounds above all that are known.
   void StepUp(std::uint64_t aRounds, ElectionEffects& aEffects);
+  //! Takes endpoints back from a leader that is not seen, if it is time.
+  void Retake(ElectionEffects& aEffects);
   void StepDown(std::string_view aReason, ElectionEffects& aEffects);
   void SetLeader(const std::string& aName, ElectionEffects& aEffects);
   Beat MakeBeat(const Known& aKnown) const;
@@ -127,12 +147,15 @@
   std::uint64_t highestToken_ = 0;
   std::string leader_;
   TimePoint leaderlessSince_;
+  TimePoint tickedAt_;
+  TimePoint resumedAt_{};
   bool canLead_ = false;
   bool leaving_ = false;
   TimePoint awayUntil_{};
   std::uint32_t timesFenced_ = 0; //!< As a minority.
   std::uint32_t fencedInRow_ = 0; //!< As a majority.
   TimePoint fencedAt_{};
+  std::optional<TimePoint> retakeAt_; //!< When to take endpoints back.
 };
 
 }
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -10,16 +10,17 @@
 struct SchedulerPolicy
 {
   //! Lease of all runs at an endpoint; bounded by what endpoints grant.
-  Duration lease{ 800000 };
-  //! How long a look waits for an end: leaves two more tries to a lease.
-  Duration lookWait{ 250000 };
+  Duration lease{ 600000 };
+  //! How long a look waits for an end: a look without an answer, and another
+  //! one, fit into a lease.
+  Duration lookWait{ 150000 };
   //! A start that arrives later is void: a few round trips and a slow sender.
   Duration startValidity{ 400000 };
   //! Without an answer for so long an endpoint gets no starts: a look's wait
   //! and some round trips.
-  Duration silence{ 450000 };
+  Duration silence{ 350000 };
   //! Pause before a failed look is tried again.
-  Duration lookPause{ 100000 };
+  Duration lookPause{ 30000 };
   //! Runs of unknown work are stopped after this; their fronts hand the work
   //! in again within a few round trips of a new leader's first beat.
   Duration orphanGrace{ 200000 };
@@ -27,7 +28,9 @@
   Duration orphanLookWait{ 50000 };
   //! After taking over, runs at endpoints that do not answer are over after
   //! this: the old leader gives up lost fronts, and leases lapse.
-  Duration takeoverDoubt{ 1900000 };
+  Duration takeoverDoubt{ 1300000 };
+  //! Endpoints are expected to answer a new leader's first look within this.
+  Duration takeover{ 300000 };
   //! An endpoint that left the list may still run work behind a cut for so
   //! long; cuts seldom last longer.
   Duration forgetEndpoint{ 30000000 };
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMostUnechoed = 64;
 //! Doublings of the pause after being fenced.
 constexpr std::uint32_t kMostFencedDoublings = 3;
+//! Growth of the steps by which a fenced leader raises its token.
+constexpr std::uint32_t kMostStepDoublings = 8;
 
 //! Spreads leaders over zones; equal in every process.
 std::uint64_t HashName(std::string_view aName)
@@ -44,6 +46,7 @@
   , wallClock_(std::move(aWallClock))
   , startedAt_(clock_())
   , leaderlessSince_(startedAt_)
+  , tickedAt_(startedAt_)
 {
 }
 
@@ -55,11 +58,51 @@
   }
 }
 
+Duration LeaderElection::TimeoutOf(const Known& aKnown) const
+{
+  const Duration slower = std::max(aKnown.last.interval, aKnown.interval);
+  return std::max(times_.memberTimeout,
+                  slower * (times_.memberTimeout / times_.beat));
+}
+
 bool LeaderElection::IsAlive(const Known& aKnown) const
 {
-  return aKnown.heard && !aKnown.gone &&
-         now_ - aKnown.heardAt <= times_.memberTimeout &&
-         now_ - aKnown.echoedAt <= times_.memberTimeout;
+  const Duration timeout = TimeoutOf(aKnown);
+  return aKnown.heard && !aKnown.gone && aKnown.heardAt > aKnown.lostAt &&
+         aKnown.echoedAt > aKnown.lostAt && now_ - aKnown.heardAt <= timeout &&
+         now_ - aKnown.echoedAt <= timeout;
+}
+
+void LeaderElection::PlanBeats()
+{
+  std::vector<std::pair<decltype(Rank(self_)), const Known*>> ranked;
+  for (const auto& [address, known] : members_) {
+    if (known.alive && known.last.canLead) {
+      ranked.emplace_back(Rank(known.member), &known);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
+    return a.first < b.first;
+  });
+  const std::size_t ahead = static_cast<std::size_t>(
+    std::count_if(ranked.begin(), ranked.end(), [this](const auto& a) {
+      return a.first < Rank(self_);
+    }));
+  const bool small = ranked.size() < times_.smallGroup;
+  const bool selfMatters = token_ != 0 || ahead < times_.successors;
+  ranked.resize(std::min(ranked.size(), times_.successors));
+  const bool discovering = now_ - startedAt_ < 2 * times_.discovery;
+  for (auto& [address, known] : members_) {
+    const bool matters = known.last.leaderToken != 0 ||
+                         std::any_of(ranked.begin(),
+                                     ranked.end(),
+                                     [&known = known](const auto& a) {
+                                       return a.second == &known;
+                                     });
+    const bool fast =
+      known.alive ? small || selfMatters || matters : discovering;
+    known.interval = fast ? times_.beat : times_.slowBeat;
+  }
 }
 
 bool LeaderElection::HasMajority() const
@@ -135,6 +178,7 @@
 {
   if (aKnown.alive) {
     aKnown.alive = false;
+    aKnown.lostAt = now_;
     aEffects.lost.push_back(aKnown.member.name);
   }
 }
@@ -163,17 +207,21 @@
     return effects;
   }
   Elect(effects); // Yields if the other leader is seen and preferred.
-  if (token_ == 0) {
+  if (token_ == 0 || retakeAt_) {
     return effects;
   }
   if (HasMajority()) {
-    // Takes the endpoints back. How far ahead the other token is, is not
-    // known: doubling the step finds it in a few attempts.
-    constexpr std::uint32_t kMostStepDoublings = 16;
+    constexpr std::uint32_t kMostPauses = 3;
     const bool again = now_ - fencedAt_ < times_.fencedPause;
     fencedInRow_ = again ? std::min(fencedInRow_ + 1, kMostStepDoublings) : 0;
     fencedAt_ = now_;
-    StepUp(std::uint64_t{ 1 } << fencedInRow_, effects);
+    fencedAt_ = now_;
+    retakeAt_ = now_;
+    if (fencedInRow_ > 0) {
+      retakeAt_ = now_ + times_.retakePause *
+                           (1U << std::min(fencedInRow_ - 1, kMostPauses));
+    }
+    Retake(effects);
     return effects;
   }
   awayUntil_ = now_ + times_.fencedPause *
@@ -183,6 +231,16 @@
   return effects;
 }
 
+void LeaderElection::Retake(ElectionEffects& aEffects)
+{
+  if (!retakeAt_ || now_ < *retakeAt_ || token_ == 0) {
+    return;
+  }
+  // How far ahead the other token is, is not known: growing steps find it in a
+  // few attempts.
+  StepUp(std::uint64_t{ 1 } << (2 * fencedInRow_), aEffects);
+}
+
 ElectionEffects LeaderElection::SetCanLead(bool aCanLead,
                                            std::string_view aReason)
 {
@@ -222,6 +280,7 @@
   beat.echo = aKnown.heardSequence;
   beat.leaderToken = token_;
   beat.highestToken = highestToken_;
+  beat.interval = aKnown.interval;
   beat.canLead = canLead_ && now_ >= awayUntil_;
   beat.leaving = leaving_;
   for (const auto& [address, known] : members_) {
@@ -264,6 +323,7 @@
   token_ =
     (round << kNameBits) | (HashName(self_.name) & ((1ULL << kNameBits) - 1));
   highestToken_ = token_;
+  retakeAt_.reset();
   aEffects.lead = token_;
   SetLeader(self_.name, aEffects);
 }
@@ -272,6 +332,7 @@
                               ElectionEffects& aEffects)
 {
   token_ = 0;
+  retakeAt_.reset();
   aEffects.yield = std::string(aReason);
   if (leader_ == self_.name) {
     SetLeader("", aEffects);
@@ -313,7 +374,8 @@
   SetLeader("", aEffects);
   if (canLead_ && !leaving_ && now_ >= awayUntil_ &&
       now_ - startedAt_ >= times_.discovery &&
-      now_ - leaderlessSince_ >= times_.settle && IsPreferred()) {
+      now_ - leaderlessSince_ >= times_.settle &&
+      now_ - resumedAt_ >= times_.resume && IsPreferred()) {
     StepUp(1, aEffects);
   }
 }
@@ -323,6 +385,11 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   ElectionEffects effects;
   now_ = clock_();
+  if (now_ - tickedAt_ > times_.memberTimeout) {
+    // What it knows is old; others have gone on in the meantime.
+    resumedAt_ = now_;
+  }
+  tickedAt_ = now_;
   for (auto& [address, known] : members_) {
     if (known.alive && !IsAlive(known)) {
       Lose(known, effects);
@@ -332,8 +399,10 @@
     }
   }
   Elect(effects);
+  Retake(effects);
+  PlanBeats();
   for (auto& [address, known] : members_) {
-    if (now_ - known.beatAt < times_.beat) {
+    if (now_ - known.beatAt < known.interval) {
       continue;
     }
     known.beatAt = now_;
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -21,6 +21,7 @@
                               std::uint64_t,
                               std::uint64_t,
                               std::uint64_t,
+                              std::int64_t,
                               bool,
                               bool,
                               std::vector<MemberFields>>;
@@ -77,13 +78,14 @@
     known.push_back(FieldsOf(member));
   }
   return { FieldsOf(aBeat.from), aBeat.sequence,     aBeat.echo,
-           aBeat.leaderToken,    aBeat.highestToken, aBeat.canLead,
-           aBeat.leaving,        std::move(known) };
+           aBeat.leaderToken,    aBeat.highestToken, aBeat.interval.count(),
+           aBeat.canLead,        aBeat.leaving,      std::move(known) };
 }
 
 Beat FromFields(const BeatFields& aFields)
 {
   Beat beat;
+  std::int64_t interval = 0;
   MemberFields from;
   std::vector<MemberFields> known;
   std::tie(from,
@@ -91,9 +93,11 @@
            beat.echo,
            beat.leaderToken,
            beat.highestToken,
+           interval,
            beat.canLead,
            beat.leaving,
            known) = aFields;
+  beat.interval = Duration(interval);
   beat.from = FromFields(from);
   for (const MemberFields& member : known) {
     beat.known.push_back(FromFields(member));
--- a/src/link/LinkNetwork.h
+++ b/src/link/LinkNetwork.h
@@ -43,7 +43,7 @@
     std::size_t queueBytes = std::size_t{ 2 } << 20U;
     //! A connection attempt, and the pause after one that failed.
     Duration connectTimeout{ 400000 };
-    Duration connectPause{ 200000 };
+    Duration connectPause{ 50000 };
   };
 
   //! Listens; throws std::exception if the address is taken.
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -8,6 +8,16 @@
 
 namespace hemlockhaven::Detail {
 
+namespace {
+
+//! An endpoint answers a new leader's first look after a few round trips.
+constexpr Duration kFirstLook{ 20000 };
+//! A run that is over its predicted time takes about this share of it more;
+//! the mean excess of a log-normal run time with the users' spread of 0.4.
+constexpr double kOverdueShare = 0.3;
+
+}
+
 Duration SchedulerState::PredictTask(const WorkEntry& aEntry,
                                      std::uint32_t aStep) const
 {
@@ -48,8 +58,12 @@
   for (const auto& [id, entry] : works_) {
     for (const TaskEntry& task : entry->Tasks()) {
       if (task.IsActive()) {
-        releases[task.endpoint].push_back(
-          { task.expectedEnd, entry->StepOf(task).each });
+        // A run that is over its time goes on for a while yet.
+        const auto more = Duration(static_cast<std::int64_t>(
+          static_cast<double>(task.predicted.count()) * kOverdueShare));
+        const TimePoint end =
+          task.expectedEnd > now_ ? task.expectedEnd : now_ + more;
+        releases[task.endpoint].push_back({ end, entry->StepOf(task).each });
       }
     }
   }
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -464,6 +464,7 @@
 {
   if (aEntry.heldUntil && (now_ >= *aEntry.heldUntil || !MayHideRuns())) {
     aEntry.heldUntil.reset();
+    AdoptOrphans(aEntry, aEffects);
   }
   for (TaskEntry& task : aEntry.Tasks()) {
     if (!task.IsActive()) {
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -65,12 +65,17 @@
                           SchedulerEffects& aEffects)
 {
   token_ = aFencingToken;
+  ledSince_ = now_;
   Note(aEffects, "lead", "", nullptr, "taking over", std::to_string(token_));
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.taken = false;
     endpoint.looking = false;
     Look(endpoint, Duration(0), aEffects);
   }
+  // Another leader may have had the work since, and may have started it.
+  for (auto& [id, entry] : works_) {
+    entry->heldUntil = now_ + policy_.takeoverDoubt;
+  }
 }
 
 void SchedulerState::Yield(std::string_view aReason, SchedulerEffects& aEffects)
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -146,6 +146,7 @@
   Clock clock_;
   TimePoint now_{}; //!< Time of the present call.
   std::uint64_t token_ = 0;
+  TimePoint ledSince_{};
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   Works works_;
   Queue queue_;
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -77,6 +77,9 @@
   std::size_t Runs() const { return runs_; }
   std::size_t RejectedStarts() const;
 
+  //! Receives each decision and run, to find the cause of a failure.
+  std::function<void(const std::string&)> trace;
+
   //! Run time of a task at speed 1; see FakeEndpoint.
   FakeEndpoint::WorkHook work = [](const TaskKey&) { return Duration(100000); };
 
