Keep fast endpoints for work that needs them, and late work behind the rest

Cause: a free slow endpoint was taken by tasks that ended late on it, and late work at the head of the queue made what followed late too. Ruled out: a margin in the forecast (no change).

--- a/include/hemlockhaven/scheduler/Placement.h
+++ b/include/hemlockhaven/scheduler/Placement.h
@@ -27,6 +27,9 @@
   Duration work{ 0 }; //!< Predicted run time at speed 1.
   TimePoint now{};
   TimePoint latestEnd{}; //!< The answer is in time until then.
+  //! Speed of the fastest endpoint, free or not, that could take the task; 0:
+  //! do not wait for it.
+  double fastestSpeed = 0;
 };
 
 //! Predictions are off by about this factor in one run out of six.
@@ -37,8 +40,9 @@
                      const PlacementCandidate& aCandidate);
 
 //! The slowest endpoint on which the task still ends in time, the fullest of
-//! equal ones; if there is none, the one on which it ends first. Keeps the
-//! fast endpoints for tasks that need them, and room in one piece.
+//! equal ones. Keeps the fast endpoints for tasks that need them, and room in
+//! one piece. If there is none, nothing as long as the fastest endpoint may
+//! become free in time, and then the one on which the task ends first.
 std::optional<std::size_t> ChooseEndpoint(
   Span<const PlacementCandidate> aCandidates,
   const PlacementDemand& aDemand);
--- a/src/scheduler/Placement.cpp
+++ b/src/scheduler/Placement.cpp
@@ -56,11 +56,18 @@
       inTime = &candidate;
     }
   }
-  const PlacementCandidate* chosen = inTime != nullptr ? inTime : first;
-  if (chosen == nullptr) {
+  if (inTime != nullptr) {
+    return inTime->id;
+  }
+  const bool mayWait =
+    aDemand.fastestSpeed > 0 &&
+    aDemand.now + Scale(aDemand.work, 1 / aDemand.fastestSpeed) <=
+      aDemand.latestEnd;
+  if (first == nullptr ||
+      (mayWait && PredictEnd(aDemand, *first) > aDemand.latestEnd)) {
     return std::nullopt;
   }
-  return chosen->id;
+  return first->id;
 }
 
 }
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -18,27 +18,65 @@
 
 void SchedulerState::Dispatch(SchedulerEffects& aEffects)
 {
-  if (!IsLeading()) {
+  if (!IsLeading() || queue_.empty()) {
     return;
   }
+  CollectUsable();
+  // Work that is late already would make all that follows it late too.
+  DispatchQueue(false, aEffects);
+  DispatchQueue(true, aEffects);
+}
+
+void SchedulerState::CollectUsable()
+{
+  usable_.clear();
+  fastestSpeed_ = 0;
+  for (auto& [id, endpoint] : endpoints_) {
+    if (endpoint.IsUsable(now_, policy_.silence)) {
+      usable_.push_back(&endpoint);
+      fastestSpeed_ = std::max(fastestSpeed_, endpoint.speed.Value());
+    }
+  }
+  UpdateMostFree();
+}
+
+void SchedulerState::UpdateMostFree()
+{
+  mostFreeCpu_ = -1;
+  for (const EndpointEntry* endpoint : usable_) {
+    mostFreeCpu_ = std::max(mostFreeCpu_, endpoint->free.cpuMillis);
+  }
+}
+
+void SchedulerState::DispatchQueue(bool aLate, SchedulerEffects& aEffects)
+{
   for (auto entry = queue_.begin(); entry != queue_.end();) {
     WorkEntry& work = *entry->second;
-    bool waits = false;
-    if (work.heldUntil) {
-      waits = true;
-    } else {
-      for (TaskEntry& task : work.Tasks()) {
-        if (task.phase == TaskPhase::Waiting) {
-          const bool started =
-            work.IsStepReady(task.step) && DispatchTask(work, task, aEffects);
-          waits = waits || !started;
-        }
+    bool waits = work.heldUntil.has_value();
+    for (TaskEntry& task : work.Tasks()) {
+      if (task.phase != TaskPhase::Waiting || work.heldUntil) {
+        continue;
       }
+      const bool started = work.StepOf(task).each.cpuMillis <= mostFreeCpu_ &&
+                           work.IsStepReady(task.step) &&
+                           IsLate(work, task) == aLate &&
+                           DispatchTask(work, task, aEffects);
+      waits = waits || !started;
     }
     entry = waits ? std::next(entry) : queue_.erase(entry);
   }
 }
 
+bool SchedulerState::IsLate(const WorkEntry& aEntry,
+                            const TaskEntry& aTask) const
+{
+  const Duration work = PredictTask(aEntry, aTask.step);
+  return fastestSpeed_ > 0 &&
+         now_ + Duration(static_cast<std::int64_t>(
+                  static_cast<double>(work.count()) / fastestSpeed_)) >
+           aEntry.LatestEnd();
+}
+
 bool SchedulerState::DispatchTask(WorkEntry& aEntry,
                                   TaskEntry& aTask,
                                   SchedulerEffects& aEffects)
@@ -49,25 +87,26 @@
   demand.work = PredictTask(aEntry, aTask.step);
   demand.now = now_;
   demand.latestEnd = aEntry.LatestEnd();
+  demand.fastestSpeed = fastestSpeed_;
   std::vector<PlacementCandidate> candidates;
   std::vector<EndpointEntry*> byIndex;
   const auto collect = [&](bool aAvoid) {
-    for (auto& [id, endpoint] : endpoints_) {
-      if (!step.each.FitsInto(endpoint.free) ||
-          !endpoint.IsUsable(now_, policy_.silence) ||
-          (aAvoid && id == aTask.avoid) ||
+    for (EndpointEntry* usable : usable_) {
+      EndpointEntry& endpoint = *usable;
+      const std::string& id = endpoint.listed.id;
+      if (!step.each.FitsInto(endpoint.free) || (aAvoid && id == aTask.avoid) ||
           (!step.requiredLabel.empty() &&
            !endpoint.HasLabel(step.requiredLabel))) {
         continue;
       }
       if (step.mostPerEndpoint > 0) {
-        const auto here =
-          std::count_if(aEntry.Tasks().begin(),
-                        aEntry.Tasks().end(),
-                        [&id = id, &aTask](const TaskEntry& aOther) {
-                          return aOther.step == aTask.step &&
-                                 aOther.IsActive() && aOther.endpoint == id;
-                        });
+        const auto here = std::count_if(aEntry.Tasks().begin(),
+                                        aEntry.Tasks().end(),
+                                        [&id, &aTask](const TaskEntry& aOther) {
+                                          return aOther.step == aTask.step &&
+                                                 aOther.IsActive() &&
+                                                 aOther.endpoint == id;
+                                        });
         if (here >= step.mostPerEndpoint) {
           continue;
         }
@@ -111,6 +150,10 @@
   aEndpoint.lease.Extend(deadline);
   aEndpoint.free -= aEntry.StepOf(aTask).each;
   ++aEndpoint.runs;
+  if (!aEndpoint.IsUsable(now_, policy_.silence)) {
+    // On probation it takes one run at a time.
+    usable_.erase(std::find(usable_.begin(), usable_.end(), &aEndpoint));
+  }
   aTask.phase = TaskPhase::Starting;
   ++aTask.run;
   aTask.endpoint = aEndpoint.listed.id;
@@ -125,6 +168,7 @@
   order.payload = aEntry.Spec().payload;
   order.deadlineClockMs = deadline;
   aEffects.starts.push_back(std::move(order));
+  UpdateMostFree();
 }
 
 }
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -505,10 +505,13 @@
   const Duration age = now_ - aEntry.FirstSent();
   const auto useless = Duration(static_cast<std::int64_t>(
     static_cast<double>(aEntry.Objective().count()) * policy_.lateFactor));
-  if (!aEntry.HasStarted() && age > useless) {
+  const bool crowded = queue_.size() > 1 && fastestSpeed_ > 0 &&
+                       !aEntry.heldUntil &&
+                       IsLate(aEntry, aEntry.Tasks().front());
+  if (!aEntry.HasStarted() && (age > useless || crowded)) {
     End(aEntry,
         WorkOutcome::Refused,
-        "waited too long",
+        "cannot end in time any more",
         policy_.leastRetryAfter,
         aEffects);
   } else if (now_ > aEntry.PatienceEnd()) {
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -70,6 +70,12 @@
 
   // SchedulerDispatch.cpp
   void Dispatch(SchedulerEffects& aEffects);
+  //! Starts waiting tasks that can end in time, or those that cannot.
+  void DispatchQueue(bool aLate, SchedulerEffects& aEffects);
+  //! Whether the task would end too late even on the fastest endpoint.
+  bool IsLate(const WorkEntry& aEntry, const TaskEntry& aTask) const;
+  void CollectUsable();
+  void UpdateMostFree();
   bool DispatchTask(WorkEntry& aEntry,
                     TaskEntry& aTask,
                     SchedulerEffects& aEffects);
@@ -151,6 +157,10 @@
   Works works_;
   Queue queue_;
   RunTimeModel runTimes_;
+  // Valid during a dispatch.
+  std::vector<EndpointEntry*> usable_;
+  double fastestSpeed_ = 0;       //!< Of the usable ones.
+  std::int64_t mostFreeCpu_ = -1; //!< On one of them.
   Dice dice_;
 
   struct Finished
