--- a/include/hemlockhaven/scheduler/Placement.h
+++ b/include/hemlockhaven/scheduler/Placement.h
@@ -20,6 +20,11 @@
                        //!< in another rack.
 };
 
+//! Predictions are off by about this factor in one run out of six, ...
+constexpr double kBusyMargin = 1.2;
+//! ... and by this one in one out of twenty: affordable while nothing waits.
+constexpr double kIdleMargin = 1.35;
+
 //! What is to be placed.
 struct PlacementDemand
 {
@@ -27,14 +32,13 @@
   Duration work{ 0 }; //!< Predicted run time at speed 1.
   TimePoint now{};
   TimePoint latestEnd{}; //!< The answer is in time until then.
+  //! Factor on the predicted run time for an endpoint to count as in time.
+  double margin = kBusyMargin;
   //! Speed of the fastest endpoint, free or not, that could take the task; 0:
   //! do not wait for it.
   double fastestSpeed = 0;
 };
 
-//! Predictions are off by about this factor in one run out of six.
-constexpr double kRunTimeMargin = 1.2;
-
 //! Predicted end of the task on the candidate, without margin.
 TimePoint PredictEnd(const PlacementDemand& aDemand,
                      const PlacementCandidate& aCandidate);
--- a/src/scheduler/EndpointEntry.cpp
+++ b/src/scheduler/EndpointEntry.cpp
@@ -32,12 +32,28 @@
   }
   // On probation an endpoint gets one run at a time.
   constexpr std::uint32_t kManyRuns = 64;
-  if (runs >= health.AllowedSlots(kManyRuns)) {
+  if (runs.size() >= health.AllowedSlots(kManyRuns)) {
     return "ejected";
   }
   return {};
 }
 
+void EndpointEntry::Occupy(WorkEntry& aEntry, TaskEntry& aTask)
+{
+  free -= aEntry.StepOf(aTask).each;
+  runs.emplace_back(&aEntry, &aTask);
+}
+
+void EndpointEntry::Release(WorkEntry& aEntry, TaskEntry& aTask)
+{
+  const auto run =
+    std::find(runs.begin(), runs.end(), std::make_pair(&aEntry, &aTask));
+  if (run != runs.end()) {
+    runs.erase(run);
+    free += aEntry.StepOf(aTask).each;
+  }
+}
+
 bool EndpointEntry::HasLabel(std::string_view aLabel) const
 {
   return std::find(listed.labels.begin(), listed.labels.end(), aLabel) !=
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -7,9 +7,11 @@
 #include "hemlockhaven/scheduler/ListedEndpoint.h"
 #include "hemlockhaven/scheduler/Reports.h"
 #include "hemlockhaven/scheduler/RunTimeModel.h"
+#include "scheduler/WorkEntry.h"
 
 #include <cstdint>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace hemlockhaven::Detail {
@@ -38,13 +40,19 @@
   //! Why not, for the log.
   std::string_view UnusableReason(TimePoint aNow, Duration aSilence) const;
 
+  //! A run of the task takes its room here.
+  void Occupy(WorkEntry& aEntry, TaskEntry& aTask);
+  //! The task's run here is over.
+  void Release(WorkEntry& aEntry, TaskEntry& aTask);
+
   bool HasLabel(std::string_view aLabel) const;
 
   ListedEndpoint listed;
   bool isListed = true;
   TimePoint unlistedAt{};
   Resources free;
-  std::uint32_t runs = 0; //!< Active runs of known work.
+  //! Active runs of known work here.
+  std::vector<std::pair<WorkEntry*, TaskEntry*>> runs;
   std::vector<OrphanRun> orphans;
 
   EndpointLease lease;
--- a/src/scheduler/Placement.cpp
+++ b/src/scheduler/Placement.cpp
@@ -44,7 +44,7 @@
       first = &candidate;
     }
     const TimePoint careful =
-      aDemand.now + Scale(end - aDemand.now, kRunTimeMargin);
+      aDemand.now + Scale(end - aDemand.now, aDemand.margin);
     if (careful > aDemand.latestEnd) {
       continue;
     }
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -12,6 +12,9 @@
 
 //! An endpoint answers a new leader's first look after a few round trips.
 constexpr Duration kFirstLook{ 20000 };
+//! A refusal stands for like work for so long: less than the shortest task, in
+//! which little room becomes free. Spares most forecasts under an overload.
+constexpr Duration kRefusalHolds{ 4000 };
 //! A run that is over its predicted time takes about this share of it more;
 //! the mean excess of a log-normal run time with the users' spread of 0.4.
 constexpr double kOverdueShare = 0.3;
@@ -54,28 +57,55 @@
 
 Forecast SchedulerState::MakeForecast() const
 {
-  std::unordered_map<std::string, std::vector<Release>> releases;
-  for (const auto& [id, entry] : works_) {
-    for (const TaskEntry& task : entry->Tasks()) {
-      if (task.IsActive()) {
+  Forecast forecast(now_);
+  const bool takingOver = now_ - ledSince_ < policy_.takeover;
+  std::vector<Release> releases;
+  for (const auto& [id, endpoint] : endpoints_) {
+    releases.clear();
+    if (endpoint.IsUsable(now_, policy_.silence)) {
+      for (const auto& [entry, task] : endpoint.runs) {
         // A run that is over its time goes on for a while yet.
         const auto more = Duration(static_cast<std::int64_t>(
-          static_cast<double>(task.predicted.count()) * kOverdueShare));
+          static_cast<double>(task->predicted.count()) * kOverdueShare));
         const TimePoint end =
-          task.expectedEnd > now_ ? task.expectedEnd : now_ + more;
-        releases[task.endpoint].push_back({ end, entry->StepOf(task).each });
+          task->expectedEnd > now_ ? task->expectedEnd : now_ + more;
+        releases.push_back({ end, entry->StepOf(*task).each });
       }
-    }
-  }
-  Forecast forecast(now_);
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.IsUsable(now_, policy_.silence)) {
-      forecast.AddEndpoint(endpoint.free, endpoint.speed.Value(), releases[id]);
+      forecast.AddEndpoint(endpoint.free, endpoint.speed.Value(), releases);
+    } else if (takingOver && endpoint.isListed && !endpoint.listed.draining) {
+      releases.push_back({ now_ + kFirstLook, endpoint.listed.capacity });
+      forecast.AddEndpoint({}, endpoint.speed.Value(), releases);
     }
   }
   return forecast;
 }
 
+bool SchedulerState::IsLikeRefused(const WorkEntry& aEntry) const
+{
+  if (now_ - refusedAt_ > kRefusalHolds) {
+    return false;
+  }
+  // Needs as much as what was refused a moment ago, in no more time.
+  const Duration slack = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
+  return slack <= refusedSlack_ && SizeOf(aEntry) >= refusedSize_;
+}
+
+std::int64_t SchedulerState::SizeOf(const WorkEntry& aEntry) const
+{
+  std::int64_t size = 0;
+  for (const WorkStep& step : aEntry.Spec().steps) {
+    size += step.count * step.each.cpuMillis;
+  }
+  return size;
+}
+
+void SchedulerState::RememberRefusal(const WorkEntry& aEntry)
+{
+  refusedAt_ = now_;
+  refusedSlack_ = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
+  refusedSize_ = SizeOf(aEntry);
+}
+
 std::optional<TimePoint> SchedulerState::PlaceAll(Forecast& aForecast,
                                                   const WorkEntry& aEntry) const
 {
@@ -163,8 +193,14 @@
   } else if (entry.Spec().submissions > 0) {
     // It was accepted before, and part of it may have run.
     verdict.accepted = true;
+  } else if (IsLikeRefused(entry)) {
+    verdict.reason = "like work that was refused just now";
+    verdict.retryAfter = policy_.leastRetryAfter;
   } else {
     verdict = Judge(entry);
+    if (!verdict.accepted) {
+      RememberRefusal(entry);
+    }
   }
   if (!verdict.accepted) {
     // Spreads the returns over as much time again.
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -88,6 +88,7 @@
   demand.now = now_;
   demand.latestEnd = aEntry.LatestEnd();
   demand.fastestSpeed = fastestSpeed_;
+  demand.margin = queue_.size() > 1 ? kBusyMargin : kIdleMargin;
   std::vector<PlacementCandidate> candidates;
   std::vector<EndpointEntry*> byIndex;
   const auto collect = [&](bool aAvoid) {
@@ -148,8 +149,7 @@
   const std::int64_t deadline =
     aEndpoint.lease.DeadlineIn(policy_.startValidity, now_).value_or(0);
   aEndpoint.lease.Extend(deadline);
-  aEndpoint.free -= aEntry.StepOf(aTask).each;
-  ++aEndpoint.runs;
+  aEndpoint.Occupy(aEntry, aTask);
   if (!aEndpoint.IsUsable(now_, policy_.silence)) {
     // On probation it takes one run at a time.
     usable_.erase(std::find(usable_.begin(), usable_.end(), &aEndpoint));
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -20,8 +20,7 @@
 void SchedulerState::ReleaseRoom(WorkEntry& aEntry, TaskEntry& aTask)
 {
   if (EndpointEntry* endpoint = FindEndpoint(aTask.endpoint)) {
-    endpoint->free += aEntry.StepOf(aTask).each;
-    --endpoint->runs;
+    endpoint->Release(aEntry, aTask);
   }
 }
 
@@ -327,26 +326,22 @@
 
   // Runs that should be listed and are not have ended unseen.
   std::vector<RunKey> gone;
-  for (const auto& [id, entry] : works_) {
-    for (const TaskEntry& task : entry->Tasks()) {
-      if (!task.IsActive() || task.endpoint != aEndpoint.listed.id) {
-        continue;
-      }
-      const RunKey key{ { id, task.step, task.index }, task.run };
-      const bool listed = std::any_of(
-        aReport.running.begin(), aReport.running.end(), [&key](const auto& a) {
-          return a.run == key.run && a.task == key.task;
-        });
-      const TimePoint asked = aEndpoint.lookSentAt;
-      const bool shouldBeListed =
-        task.phase == TaskPhase::Running && task.confirmedAt < asked;
-      const bool cannotStart =
-        (task.phase != TaskPhase::Running &&
-         aReport.clockMs > task.deadlineClockMs) ||
-        (task.stopConfirmedAt && *task.stopConfirmedAt < asked);
-      if (!listed && (shouldBeListed || cannotStart)) {
-        gone.push_back(key);
-      }
+  const TimePoint asked = aEndpoint.lookSentAt;
+  for (const auto& [entry, task] : aEndpoint.runs) {
+    const RunKey key{ { entry->Spec().id, task->step, task->index },
+                      task->run };
+    const bool listed = std::any_of(
+      aReport.running.begin(), aReport.running.end(), [&key](const auto& a) {
+        return a.run == key.run && a.task == key.task;
+      });
+    const bool shouldBeListed =
+      task->phase == TaskPhase::Running && task->confirmedAt < asked;
+    const bool cannotStart =
+      (task->phase != TaskPhase::Running &&
+       aReport.clockMs > task->deadlineClockMs) ||
+      (task->stopConfirmedAt && *task->stopConfirmedAt < asked);
+    if (!listed && (shouldBeListed || cannotStart)) {
+      gone.push_back(key);
     }
   }
   for (const RunKey& key : gone) {
@@ -400,8 +395,7 @@
   aTask.confirmedAt = now_;
   aTask.predicted = Duration(0); // Its start is not known: nothing to learn.
   aTask.expectedEnd = now_ + PredictTask(aEntry, aTask.step);
-  aEndpoint.free -= aEntry.StepOf(aTask).each;
-  ++aEndpoint.runs;
+  aEndpoint.Occupy(aEntry, aTask);
   aEntry.MarkStarted(now_);
   Note(aEffects, "run", aEntry.Spec().id, &aEndpoint, "adopted");
 }
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -104,7 +104,7 @@
   doneEarly_.clear();
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.free = endpoint.listed.capacity;
-    endpoint.runs = 0;
+    endpoint.runs.clear();
     endpoint.orphans.clear();
     endpoint.taken = false;
     endpoint.looking = false;
@@ -344,7 +344,7 @@
 {
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
     const EndpointEntry& endpoint = entry->second;
-    const bool over = !endpoint.isListed && endpoint.runs == 0 &&
+    const bool over = !endpoint.isListed && endpoint.runs.empty() &&
                       endpoint.orphans.empty() &&
                       now_ - endpoint.unlistedAt > policy_.forgetEndpoint;
     entry = over ? endpoints_.erase(entry) : std::next(entry);
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -63,6 +63,11 @@
   };
   Verdict Judge(const WorkEntry& aEntry) const;
   Forecast MakeForecast() const;
+  //! Whether work that needed no more, and had as much time, was refused just
+  //! now.
+  bool IsLikeRefused(const WorkEntry& aEntry) const;
+  void RememberRefusal(const WorkEntry& aEntry);
+  std::int64_t SizeOf(const WorkEntry& aEntry) const;
   std::optional<TimePoint> PlaceAll(Forecast& aForecast,
                                     const WorkEntry& aEntry) const;
   Duration PredictTask(const WorkEntry& aEntry, std::uint32_t aStep) const;
@@ -157,6 +162,10 @@
   Works works_;
   Queue queue_;
   RunTimeModel runTimes_;
+  // The last refusal for want of room.
+  TimePoint refusedAt_{};
+  Duration refusedSlack_{ 0 };
+  std::int64_t refusedSize_ = 0; //!< Thousandths of a core, all tasks.
   // Valid during a dispatch.
   std::vector<EndpointEntry*> usable_;
   double fastestSpeed_ = 0;       //!< Of the usable ones.
--- a/tests/scheduler/LoadReplayTest.cpp
+++ b/tests/scheduler/LoadReplayTest.cpp
@@ -25,11 +25,23 @@
                             { 0.55, 1.2, 1.2, 1.2 },
                             { 16000, 16000, 24000 } };
 
-LoadPattern WithLoad(const char* aName,
+const LoadPattern kOrderDesk{ "order desk",
+                              { { { "stock-check", 34.4, 8, 60, 27000, 0.0291 },
+                                  { "reserve", 6.25, 4, 900, 27000, 0.16 },
+                                  { "quote", 100, 2, 200, 27000, 0.01 } } },
+                              84.4,
+                              20,
+                              {},
+                              48,
+                              { 0.6, 1.0, 1.6 },
+                              { 64000, 64000, 64000, 96000 } };
+
+LoadPattern WithLoad(const LoadPattern& aBase,
+                     const char* aName,
                      double aPerSecond,
                      std::vector<LoadBurst> aBursts)
 {
-  LoadPattern pattern = kAwnings;
+  LoadPattern pattern = aBase;
   pattern.name = aName;
   pattern.perSecond = aPerSecond;
   pattern.bursts = std::move(aBursts);
@@ -47,17 +59,28 @@
 
 const ReplayRow kReplayRows[] = {
   { "turning work away on a calm day",
-    WithLoad("calm", 95.7, {}),
+    WithLoad(kAwnings, "calm", 95.7, {}),
     0.95,
     0.9,
     0.9 },
   { "urgent storms and a flood of quotes at high load",
-    WithLoad("bursts", 154.7, { { 1, 2.3, 4.6, 9.9 }, { 0, 1.9, 13, 16.3 } }),
+    WithLoad(kAwnings,
+             "bursts",
+             154.7,
+             { { 1, 2.3, 4.6, 9.9 }, { 0, 1.9, 13, 16.3 } }),
     0.87,
     0.7,
     0.8 },
+  { "reservations and stock checks at high load",
+    WithLoad(kOrderDesk,
+             "order desk bursts",
+             168.9,
+             { { 1, 2.4, 4, 9.9 }, { 0, 1.9, 13, 16.8 } }),
+    0.8,
+    0.6,
+    0.7 },
   { "starving a kind when twice the load comes",
-    WithLoad("twice", 300, {}),
+    WithLoad(kAwnings, "twice", 300, {}),
     0.4,
     0.3,
     0.2 },
@@ -69,6 +92,7 @@
 
 TEST(LoadReplay, ServesTheLoadAtItsWorst)
 {
+  std::string faults;
   for (const ReplayRow& row : kReplayRows) {
     for (std::uint64_t seed = 1; seed <= 2; ++seed) {
       const LoadResult result = Replay(row.pattern, seed);
@@ -77,14 +101,16 @@
       if (std::getenv("HEMLOCKHAVEN_SHOW_REPLAY") != nullptr) {
         std::cout << what << '\n';
       }
-      CHECK_TEXT(result.inTime >= row.leastInTime, what.c_str());
-      CHECK_TEXT(result.worstWindows >= row.leastWorstWindows, what.c_str());
-      CHECK_TEXT(result.worstKind >= row.leastWorstKind, what.c_str());
       // What cannot be served is refused at once; the rest was accepted in
       // good faith and became late behind runs that were predicted too short.
-      CHECK_TEXT(static_cast<double>(result.refusedAtOnce) >=
-                   0.9 * static_cast<double>(result.refused),
-                 what.c_str());
+      const bool isPrompt = static_cast<double>(result.refusedAtOnce) >=
+                            0.9 * static_cast<double>(result.refused);
+      if (result.inTime < row.leastInTime ||
+          result.worstWindows < row.leastWorstWindows ||
+          result.worstKind < row.leastWorstKind || !isPrompt) {
+        faults += what + '\n';
+      }
     }
   }
+  CHECK_TEXT(faults.empty(), faults.c_str());
 }
