--- a/src/link/LinkNetwork.h
+++ b/src/link/LinkNetwork.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -62,6 +63,8 @@
   //! Closes the connection to this address; the next message opens another.
   void Reset(const std::string& aAddress);
 
+  std::uint16_t Port() const { return acceptor_.local_endpoint().port(); }
+
   struct Shared; //!< State that connections share.
 
 private:
--- /dev/null
+++ b/tests/adapter/RecordsTest.cpp
@@ -0,0 +1,350 @@
+#include "platform/Records.h"
+#include "platform/EndpointOrders.h"
+#include "platform/EndpointRegistry.h"
+#include "platform/EntryApi.h"
+#include "platform/PlatformSettings.h"
+#include "platform/StoreClient.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace hemlockhaven;
+using namespace hemlockhaven::Platform;
+
+namespace {
+
+const std::string kEndpoint =
+  R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
+  R"("capacity":{"cpu":16000,"mem_mb":1024,"gpus":2},"labels":["a","r1-3"],)"
+  R"("born":7})";
+
+std::string Replace(std::string aText,
+                    std::string_view aWhat,
+                    std::string_view aBy)
+{
+  const std::size_t at = aText.find(aWhat);
+  CHECK_TEXT(at != std::string::npos, std::string(aWhat).c_str());
+  return aText.replace(at, aWhat.size(), aBy);
+}
+
+struct EndpointRow
+{
+  const char* guardsAgainst;
+  const char* what; //!< Part of the good record ...
+  const char* by;   //!< ... and what takes its place.
+  bool read;
+};
+
+constexpr EndpointRow kEndpointRows[] = {
+  { "refusing a good record", "ready", "ready", true },
+  { "a state that is not known", "ready", "asleep", false },
+  { "a number in place of a text", "\"s\"", "5", false },
+  { "an address that is none", "10.0.0.9:80", "somewhere", false },
+  { "a missing capacity", "capacity", "kapacity", false },
+  { "a negative capacity", "16000", "-1", false },
+  { "labels that are no list", "[\"a\",\"r1-3\"]", "{}", false },
+  { "bytes that are no JSON", "{\"service\"", "service", false },
+  { "needing fields that may be absent", ",\"born\":7", "", true },
+};
+
+struct WorkRow
+{
+  const char* guardsAgainst;
+  const char* json;
+  Reason reason; //!< None: it is served.
+};
+
+constexpr WorkRow kWorkRows[] = {
+  { "refusing a job that is served",
+    R"({"spec":"x","best_effort":true,"steps":[{"count":2,"cpu":500}]})",
+    Reason::None },
+  { "serving a job that must be stored",
+    R"({"spec":"x","steps":[{"count":2,"cpu":500}]})",
+    Reason::NotReady },
+  { "half of a gang",
+    R"({"best_effort":true,"steps":[{"count":2,"gang":true}]})",
+    Reason::NotReady },
+  { "a task that ends though it should last",
+    R"({"best_effort":true,"steps":[{"count":2,"long_running":true}]})",
+    Reason::NotReady },
+  { "a job at once that should run later",
+    R"({"best_effort":true,"repetitions":3,"steps":[{"count":2}]})",
+    Reason::NotReady },
+  { "a job without tasks",
+    R"({"best_effort":true,"steps":[]})",
+    Reason::MalformedRequest },
+  { "a step that waits for itself",
+    R"({"best_effort":true,"steps":[{"count":2,"depends_on":[0]}]})",
+    Reason::MalformedRequest },
+  { "a count that is a text",
+    R"({"best_effort":true,"steps":[{"count":"2"}]})",
+    Reason::MalformedRequest },
+  { "more tasks than memory",
+    R"({"best_effort":true,"steps":[{"count":900000000}]})",
+    Reason::MalformedRequest },
+  { "bytes that are no JSON", "hello", Reason::MalformedRequest },
+};
+
+struct AnswerRow
+{
+  const char* guardsAgainst;
+  CallerOutcome outcome;
+  unsigned status;
+  std::uint32_t retryAfterSeconds;
+};
+
+constexpr AnswerRow kAnswerRows[] = {
+  { "completed work told as refused", CallerOutcome::Completed, 200, 0 },
+  { "failed work sent again", CallerOutcome::Failed, 200, 0 },
+  { "a refusal without a time to return", CallerOutcome::Overloaded, 429, 2 },
+  { "an outage told as an overload", CallerOutcome::Unavailable, 503, 2 },
+  { "work that may have run told as not run", CallerOutcome::TimedOut, 504, 0 },
+};
+
+struct OrderRow
+{
+  const char* guardsAgainst;
+  HttpEnd end;
+  unsigned status;
+  const char* body;
+  OrderOutcome outcome;
+};
+
+constexpr OrderRow kOrderRows[] = {
+  { "an accepted start",
+    HttpEnd::Answered,
+    200,
+    R"({"clock_ms":5})",
+    OrderOutcome::Accepted },
+  { "a fenced start",
+    HttpEnd::Answered,
+    409,
+    R"({"reason":"fence"})",
+    OrderOutcome::Fenced },
+  { "an old run number",
+    HttpEnd::Answered,
+    409,
+    R"({"reason":"old"})",
+    OrderOutcome::Superseded },
+  { "a late start",
+    HttpEnd::Answered,
+    409,
+    R"({"reason":"late"})",
+    OrderOutcome::Expired },
+  { "a full endpoint",
+    HttpEnd::Answered,
+    409,
+    R"({"reason":"room"})",
+    OrderOutcome::NoRoom },
+  { "a reason that is not known taken as not run",
+    HttpEnd::Answered,
+    409,
+    R"({"reason":"?"})",
+    OrderOutcome::Unknown },
+  { "a fault of the server taken as not run",
+    HttpEnd::Answered,
+    500,
+    "",
+    OrderOutcome::Unknown },
+  { "another incarnation",
+    HttpEnd::Answered,
+    421,
+    "",
+    OrderOutcome::WrongIncarnation },
+  { "an unhealthy endpoint",
+    HttpEnd::Answered,
+    503,
+    "",
+    OrderOutcome::Unhealthy },
+  { "a lost answer taken as not run",
+    HttpEnd::Unknown,
+    0,
+    "",
+    OrderOutcome::Unknown },
+  { "a request that was never sent",
+    HttpEnd::NotSent,
+    0,
+    "",
+    OrderOutcome::NotSent },
+};
+
+struct TaskRow
+{
+  const char* guardsAgainst;
+  const char* name;
+  bool read;
+};
+
+constexpr TaskRow kTaskRows[] = {
+  { "not reading our own names", "5c0e7a21d94b36f8.0.1.17", true },
+  { "a name without numbers", "5c0e7a21d94b36f8", false },
+  { "a name with too few", "5c0e7a21d94b36f8.0.1", false },
+  { "a name with too many", "5c0e7a21d94b36f8.0.1.17.2", false },
+  { "letters for numbers", "5c0e7a21d94b36f8.0.x.17", false },
+};
+
+KeyedRecord Record(const char* aKey, const std::string& aValue)
+{
+  return { aKey, aValue };
+}
+
+}
+
+TEST_GROUP(Records){};
+
+TEST(Records, EndpointsAreCheckedFieldByField)
+{
+  for (const EndpointRow& row : kEndpointRows) {
+    const auto decoded =
+      DecodeEndpoint("e", Replace(kEndpoint, row.what, row.by));
+    CHECK_EQUAL_TEXT(row.read, decoded.has_value(), row.guardsAgainst);
+  }
+  const auto endpoint = DecodeEndpoint("e", kEndpoint).value();
+  STRCMP_EQUAL("r1-3", endpoint.rack.c_str());
+  LONGS_EQUAL(2, endpoint.capacity.accelerators);
+  LONGS_EQUAL(7, endpoint.bornMs);
+}
+
+TEST(Records, ConfigurationIsRead)
+{
+  const auto decoded = DecodeConfiguration(
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",)"
+    R"("service":"s","target_latency_ms":60,"stretch":1.6,"attempts":4}]})");
+  CHECK(decoded.has_value());
+  LONGS_EQUAL(7, decoded.value().version);
+  LONGS_EQUAL(60000, decoded.value().routes.at(0).targetLatency.count());
+  CHECK_FALSE(DecodeConfiguration(R"({"version":7,"routes":[{}]})"));
+  CHECK_FALSE(DecodeConfiguration("[]"));
+}
+
+TEST(Records, WorkIsServedWholeOrNotAtAll)
+{
+  for (const WorkRow& row : kWorkRows) {
+    const auto work = Platform::Detail::DecodeWork(row.json);
+    const Reason reason = work ? Reason::None : work.error().reason;
+    LONGS_EQUAL_TEXT(static_cast<int>(row.reason),
+                     static_cast<int>(reason),
+                     row.guardsAgainst);
+  }
+}
+
+TEST(Records, AnswersSayWhetherWorkRan)
+{
+  for (const AnswerRow& row : kAnswerRows) {
+    const auto reply = Platform::Detail::EncodeAnswer(
+      { row.outcome, "because", std::chrono::milliseconds(1500) });
+    LONGS_EQUAL_TEXT(row.status, reply.status, row.guardsAgainst);
+    LONGS_EQUAL_TEXT(
+      row.retryAfterSeconds, reply.retryAfterSeconds, row.guardsAgainst);
+  }
+}
+
+TEST(Records, OrdersThatMayHaveRunAreUnknown)
+{
+  for (const OrderRow& row : kOrderRows) {
+    HttpResult result;
+    result.end = row.end;
+    result.status = row.status;
+    result.body = row.body;
+    const auto reply = Platform::Detail::DecodeOrderReply(result);
+    LONGS_EQUAL_TEXT(static_cast<int>(row.outcome),
+                     static_cast<int>(reply.outcome),
+                     row.guardsAgainst);
+  }
+}
+
+TEST(Records, TaskNamesAreReadBack)
+{
+  for (const TaskRow& row : kTaskRows) {
+    const auto task = Platform::Detail::DecodeTask(row.name);
+    CHECK_EQUAL_TEXT(row.read, task.has_value(), row.guardsAgainst);
+    if (task) {
+      STRCMP_EQUAL(row.name, Platform::Detail::EncodeTask(*task).c_str());
+    }
+  }
+}
+
+TEST(Records, LooksAreReadWholeOrNotAtAll)
+{
+  HttpResult result;
+  result.end = HttpEnd::Answered;
+  result.status = 200;
+  result.body = R"({"clock_ms":9,"born":3,"running":[["w.0.0.1",2,"",41,0]],)"
+                R"("finished":[[58,"w.0.0.9",1,"done",""]]})";
+  const auto look = Platform::Detail::DecodeLook(result);
+  CHECK(look.outcome == OrderOutcome::Accepted);
+  LONGS_EQUAL(2, look.report.running.at(0).run);
+  LONGS_EQUAL(58, look.report.ended.at(0).position);
+  CHECK(look.report.ended.at(0).how == RunEnd::Done);
+  result.body = R"({"clock_ms":9,"running":[],"finished":[[58]]})";
+  CHECK(Platform::Detail::DecodeLook(result).outcome == OrderOutcome::Unknown);
+}
+
+TEST(Records, StoreBytesAreRead)
+{
+  using namespace std::literals;
+  STRCMP_EQUAL("hello",
+               Platform::Detail::DecodeBase64("aGVsbG8=").value().c_str());
+  CHECK_FALSE(Platform::Detail::DecodeBase64("aGVsbG8").has_value());
+  CHECK_FALSE(Platform::Detail::DecodeBase64("a?Vs").has_value());
+  const std::string body =
+    "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\x02\0\0\0\x04\x01kab\0\0\0\x02\x01k"s;
+  const auto read = Platform::Detail::DecodeRecords(body);
+  CHECK(read.has_value());
+  LONGS_EQUAL(9, read->end);
+  LONGS_EQUAL(2, read->records.size());
+  STRCMP_EQUAL("ab", read->records[0].value->c_str());
+  CHECK_FALSE(read->records[1].value.has_value());
+  CHECK_FALSE(Platform::Detail::DecodeRecords(body.substr(0, body.size() - 1))
+                .has_value());
+}
+
+TEST_GROUP(EndpointRegistry){};
+
+TEST(EndpointRegistry, KeepsMissingEndpointsForAWhile)
+{
+  TimePoint now{ std::chrono::hours(1) };
+  int bad = 0;
+  EndpointRegistry registry(
+    [&now] { return now; },
+    [&bad](const std::string&, const std::string&) { ++bad; });
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint),
+                                           Record("b", kEndpoint),
+                                           Record("c", "garbage") },
+                 true);
+  LONGS_EQUAL(2, registry.TakeChanged()->size());
+  LONGS_EQUAL(1, bad);
+  CHECK_FALSE(registry.TakeChanged().has_value());
+
+  // The store comes back without them, and the endpoints a second later.
+  registry.Apply(std::vector<KeyedRecord>{}, true);
+  CHECK_FALSE(registry.TakeChanged().has_value());
+  now += std::chrono::seconds(1);
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false);
+  LONGS_EQUAL(2, registry.TakeChanged()->size());
+  now += std::chrono::seconds(2);
+  LONGS_EQUAL(1, registry.TakeChanged()->size());
+}
+
+TEST_GROUP(PlatformSettings){};
+
+TEST(PlatformSettings, NamesEachFault)
+{
+  const std::string good =
+    R"({"name":"n","zone":"z","ip":"10.0.0.1","cores":0.25,)"
+    R"("callers":"10.0.0.1:80","readiness":"10.0.0.1:81","linkPort":7720,)"
+    R"("seeds":["10.0.0.2:82"],"log":"10.0.0.3:83","endpointLeaseMs":1000,)"
+    R"("stopGraceS":6,"metricsPort":9464,"logLevel":"info"})";
+  CHECK(ParseSettings(good).errors.empty());
+  CHECK(
+    ParseSettings(Replace(good, R"(["10.0.0.2:82"])", "null")).errors.empty());
+  const auto bad = ParseSettings(
+    Replace(Replace(good, "10.0.0.1:80", "here"), "0.25", "\"fast\""));
+  LONGS_EQUAL(2, bad.errors.size());
+  STRCMP_CONTAINS("cores", bad.errors[0].c_str());
+  STRCMP_CONTAINS("callers", bad.errors[1].c_str());
+  LONGS_EQUAL(1, ParseSettings("[").errors.size());
+}
--- /dev/null
+++ b/tests/link/LinkTest.cpp
@@ -0,0 +1,143 @@
+#include "link/LinkMessage.h"
+#include "link/LinkNetwork.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace hemlockhaven;
+
+namespace {
+
+namespace net = boost::asio;
+
+Beat MakeBeat(const std::string& aName)
+{
+  Beat beat;
+  beat.from = { aName, "127.0.0.1:1", "z", 0.25, 7 };
+  beat.sequence = 5;
+  beat.echo = 4;
+  beat.leaderToken = 9;
+  beat.interval = Duration(70000);
+  beat.leaving = true;
+  beat.known.push_back({ "other", "127.0.0.1:2", "y", 2, 8 });
+  return beat;
+}
+
+Work MakeWork()
+{
+  Work work;
+  work.id = "w";
+  work.service = "s";
+  work.payload = std::string("bytes\0and more", 14);
+  WorkStep step;
+  step.count = 3;
+  step.each = { 1, 2, 3 };
+  step.after = { 0 };
+  step.requiredLabel = "a";
+  work.steps.push_back(step);
+  work.stretch = 1.6;
+  work.patience = Duration(5);
+  work.submissions = 2;
+  return work;
+}
+
+//! Runs the context until the condition holds; false after some seconds.
+bool RunUntil(net::io_context& aContext, const std::function<bool()>& aIsDone)
+{
+  for (int step = 0; step < 500 && !aIsDone(); ++step) {
+    aContext.run_for(std::chrono::milliseconds(10));
+  }
+  return aIsDone();
+}
+
+net::ip::tcp::endpoint AnyPort()
+{
+  return { net::ip::make_address("127.0.0.1"), 0 };
+}
+
+}
+
+TEST_GROUP(LinkMessage){};
+
+TEST(LinkMessage, IsReadBack)
+{
+  const std::string beatBytes = EncodeLinkMessage(MakeBeat("n"));
+  const auto decoded = DecodeLinkMessage(beatBytes);
+  CHECK(decoded.has_value());
+  const Beat& beat = std::get<Beat>(*decoded);
+  LONGS_EQUAL(5, beat.sequence);
+  LONGS_EQUAL(70000, beat.interval.count());
+  CHECK(beat.leaving);
+  STRCMP_EQUAL("other", beat.known.at(0).name.c_str());
+
+  const std::string workBytes = EncodeLinkMessage(MakeWork());
+  const Work work = std::get<Work>(*DecodeLinkMessage(workBytes));
+  LONGS_EQUAL(14, work.payload.size());
+  LONGS_EQUAL(3, work.steps.at(0).each.accelerators);
+  LONGS_EQUAL(2, work.submissions);
+
+  WorkAnswer answer;
+  answer.workId = "w";
+  answer.outcome = WorkOutcome::Refused;
+  answer.retryAfter = Duration(9);
+  const std::string answerBytes = EncodeLinkMessage(answer);
+  const auto answered = std::get<WorkAnswer>(*DecodeLinkMessage(answerBytes));
+  CHECK(answered.outcome == WorkOutcome::Refused);
+  LONGS_EQUAL(9, answered.retryAfter.count());
+}
+
+TEST(LinkMessage, CutOrForeignBytesAreRefused)
+{
+  const std::string bytes = EncodeLinkMessage(MakeWork());
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    CHECK_FALSE(DecodeLinkMessage({ bytes.data(), length }).has_value());
+  }
+  const std::string foreign = "\x93\x07\x00\x90"; // Of another version.
+  CHECK_FALSE(DecodeLinkMessage(foreign).has_value());
+}
+
+TEST_GROUP(LinkNetwork){};
+
+TEST(LinkNetwork, CarriesMessagesAndReportsTheirEnd)
+{
+  net::io_context context;
+  std::vector<std::string> received;
+  std::string ended;
+  LinkNetwork::Hooks hooks;
+  hooks.received = [&received](std::string_view aMember, const LinkMessage& a) {
+    received.push_back(std::string(aMember) + std::to_string(a.index()));
+  };
+  hooks.ended = [&ended](std::string_view aMember) { ended = aMember; };
+  hooks.malformed = [](std::string_view) {};
+  LinkNetwork receiver(context, AnyPort(), LinkNetwork::Limits(), hooks);
+  const std::string address = "127.0.0.1:" + std::to_string(receiver.Port());
+  {
+    LinkNetwork sender(context, AnyPort(), LinkNetwork::Limits(), hooks);
+    CHECK(sender.Send(address, MakeBeat("a")));
+    CHECK(sender.Send(address, MakeWork()));
+    CHECK(RunUntil(context, [&] { return received.size() == 2; }));
+    sender.Reset(address);
+  }
+  CHECK(RunUntil(context, [&] { return !ended.empty(); }));
+  STRCMP_EQUAL("a0", received[0].c_str());
+  STRCMP_EQUAL("a1", received[1].c_str());
+  STRCMP_EQUAL("a", ended.c_str());
+}
+
+TEST(LinkNetwork, DropsWhatWaitsForADaemonThatIsGone)
+{
+  net::io_context context;
+  LinkNetwork::Hooks hooks;
+  LinkNetwork sender(context, AnyPort(), LinkNetwork::Limits(), hooks);
+  // Nothing listens on port 1.
+  CHECK(sender.Send("127.0.0.1:1", MakeBeat("a")));
+  context.run_for(std::chrono::milliseconds(50));
+  CHECK(sender.Send("127.0.0.1:1", MakeBeat("a")));
+}
--- /dev/null
+++ b/tests/net/HttpTest.cpp
@@ -0,0 +1,249 @@
+#include "net/Address.h"
+#include "net/HttpClient.h"
+#include "net/HttpListener.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+using namespace hemlockhaven;
+
+namespace {
+
+namespace net = boost::asio;
+
+bool RunUntil(net::io_context& aContext, const std::function<bool()>& aIsDone)
+{
+  for (int step = 0; step < 500 && !aIsDone(); ++step) {
+    aContext.run_for(std::chrono::milliseconds(10));
+    aContext.restart();
+  }
+  return aIsDone();
+}
+
+//! A server whose replies the test gives, with a client of its own.
+class Bench
+{
+public:
+  explicit Bench(RequestHandler aHandler)
+    : listener(context,
+               { net::ip::make_address("127.0.0.1"), 0 },
+               HttpListener::Limits(),
+               std::move(aHandler))
+    , client(context, HttpClient::Limits())
+  {
+  }
+
+  HttpCall Call(const std::string& aTarget)
+  {
+    HttpCall call;
+    call.address = "127.0.0.1:" + std::to_string(listener.Port());
+    call.method = "POST";
+    call.target = aTarget;
+    call.body = "{}";
+    return call;
+  }
+
+  HttpResult Get(HttpCall aCall)
+  {
+    HttpResult result;
+    bool done = false;
+    client.Send(std::move(aCall), [&](HttpResult aResult) {
+      result = std::move(aResult);
+      done = true;
+    });
+    CHECK(RunUntil(context, [&] { return done; }));
+    return result;
+  }
+
+  //! What a connection that sends these bytes gets back.
+  std::string Exchange(std::string_view aBytes)
+  {
+    auto socket = std::make_shared<net::ip::tcp::socket>(context);
+    socket->connect({ net::ip::make_address("127.0.0.1"), listener.Port() });
+    net::write(*socket, net::buffer(aBytes.data(), aBytes.size()));
+    std::string got;
+    bool ended = false;
+    std::array<char, 4096> buffer{};
+    std::function<void()> read = [&] {
+      socket->async_read_some(net::buffer(buffer),
+                              [&](const auto& aError, std::size_t aCount) {
+                                got.append(buffer.data(), aCount);
+                                if (aError) {
+                                  ended = true;
+                                } else {
+                                  read();
+                                }
+                              });
+    };
+    read();
+    RunUntil(context,
+             [&] { return ended || got.find("\r\n\r\n") != got.npos; });
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    RunUntil(context, [&] { return ended; });
+    return got;
+  }
+
+  net::io_context context;
+  HttpListener listener;
+  HttpClient client;
+};
+
+LeftHook Echo(const IncomingRequest& aRequest, ReplyHook aReply)
+{
+  OutgoingReply reply;
+  reply.body = std::string(aRequest.method) + std::string(aRequest.target) +
+               std::string(aRequest.header("Host").substr(0, 9));
+  reply.retryAfterSeconds = 3;
+  aReply(std::move(reply));
+  return nullptr;
+}
+
+struct MalformedRow
+{
+  const char* guardsAgainst;
+  std::string bytes;
+  const char* status;
+};
+
+const MalformedRow kMalformedRows[] = {
+  { "bytes that are no HTTP told as a fault of ours",
+    "hello there\r\n\r\n",
+    "HTTP/1.1 400" },
+  { "a body of any size",
+    "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+    "HTTP/1.1 413" },
+  { "headers of any size",
+    "GET / HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n",
+    "HTTP/1.1 431" },
+  { "refusing a good request",
+    "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+    "HTTP/1.1 200" },
+};
+
+struct AddressRow
+{
+  const char* text;
+  bool good;
+};
+
+constexpr AddressRow kAddressRows[] = {
+  { "10.0.0.1:80", true },   { "10.0.0.1", false },       { "host:80", false },
+  { "10.0.0.1:0", false },   { "10.0.0.1:70000", false }, { "", false },
+  { "10.0.0.1:80x", false },
+};
+
+}
+
+TEST_GROUP(HttpListener){};
+
+TEST(HttpListener, AnswersRequestsOnKeptConnections)
+{
+  Bench bench(Echo);
+  for (int i = 0; i < 3; ++i) {
+    const HttpResult result = bench.Get(bench.Call("/x"));
+    CHECK(result.end == HttpEnd::Answered);
+    LONGS_EQUAL(200, result.status);
+    STRCMP_EQUAL("POST/x127.0.0.1", result.body.c_str());
+  }
+  LONGS_EQUAL(1, bench.client.Opened());
+}
+
+TEST(HttpListener, TellsMalformedRequestsFromFaults)
+{
+  for (const MalformedRow& row : kMalformedRows) {
+    Bench bench(Echo);
+    const std::string got = bench.Exchange(row.bytes);
+    STRNCMP_EQUAL_TEXT(row.status, got.c_str(), 12, row.guardsAgainst);
+  }
+}
+
+TEST(HttpListener, NoticesThatACallerLeft)
+{
+  bool left = false;
+  ReplyHook kept;
+  Bench bench([&](const IncomingRequest&, ReplyHook aReply) -> LeftHook {
+    kept = std::move(aReply);
+    return [&left] { left = true; };
+  });
+  HttpCall call = bench.Call("/");
+  call.timeout = std::chrono::milliseconds(100);
+  CHECK(bench.Get(call).end == HttpEnd::Unknown);
+  CHECK(RunUntil(bench.context, [&] { return left; }));
+  kept(OutgoingReply()); // Goes nowhere, and does no harm.
+}
+
+TEST(HttpListener, ClosesIdleConnectionsAndAnswersOthersWhenItDrains)
+{
+  ReplyHook kept;
+  Bench bench(
+    [&](const IncomingRequest& aRequest, ReplyHook aReply) -> LeftHook {
+      if (aRequest.target == "/wait") {
+        kept = std::move(aReply);
+      } else {
+        aReply(OutgoingReply());
+      }
+      return nullptr;
+    });
+  HttpResult waited;
+  bool done = false;
+  bench.client.Send(bench.Call("/wait"), [&](HttpResult aResult) {
+    waited = std::move(aResult);
+    done = true;
+  });
+  CHECK(RunUntil(bench.context, [&] { return kept != nullptr; }));
+  bench.Get(bench.Call("/idle"));
+  LONGS_EQUAL(2, bench.listener.Connections());
+  bench.listener.Drain();
+  CHECK(
+    RunUntil(bench.context, [&] { return bench.listener.Connections() == 1; }));
+  CHECK_FALSE(done);
+  kept(OutgoingReply());
+  kept = nullptr;
+  CHECK(RunUntil(bench.context, [&] { return done; }));
+  CHECK(waited.end == HttpEnd::Answered);
+  CHECK(
+    RunUntil(bench.context, [&] { return bench.listener.Connections() == 0; }));
+}
+
+TEST_GROUP(HttpClient){};
+
+TEST(HttpClient, KnowsWhatWasNotSent)
+{
+  Bench bench(Echo);
+  HttpCall call = bench.Call("/");
+  call.address = "127.0.0.1:1"; // Nothing listens there.
+  CHECK(bench.Get(call).end == HttpEnd::NotSent);
+}
+
+TEST(HttpClient, DoesNotSendAgainWhenAConnectionEnds)
+{
+  int requests = 0;
+  Bench bench([&](const IncomingRequest&, ReplyHook) -> LeftHook {
+    ++requests;
+    return [] {};
+  });
+  HttpCall call = bench.Call("/");
+  call.timeout = std::chrono::milliseconds(50);
+  CHECK(bench.Get(call).end == HttpEnd::Unknown);
+  LONGS_EQUAL(1, requests);
+}
+
+TEST_GROUP(Address){};
+
+TEST(Address, IsAnIpNumberAndAPort)
+{
+  for (const AddressRow& row : kAddressRows) {
+    CHECK_EQUAL_TEXT(row.good, ParseAddress(row.text).has_value(), row.text);
+  }
+}
