--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -72,7 +72,8 @@
   std::string workId;
   std::string endpoint;
   std::string outcome;
-  std::string detail;
+  std::string detail;     //!< The reason; one of few texts, so that it counts.
+  std::string inputs;     //!< What the decision went by, "name=value ...".
   Duration inputAge{ 0 }; //!< Age of what was known of the endpoint.
 };
 
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -177,6 +177,19 @@
   return verdict;
 }
 
+std::string SchedulerState::DescribeInputs(const WorkEntry& aEntry) const
+{
+  const auto milliseconds = [](Duration aDuration) {
+    return std::to_string(aDuration.count() / 1000);
+  };
+  return "tasks=" + std::to_string(aEntry.Tasks().size()) +
+         " predictedMs=" + milliseconds(PredictTask(aEntry, 0)) +
+         " allowedMs=" + milliseconds(aEntry.LatestEnd() - now_) +
+         " ageMs=" + milliseconds(now_ - aEntry.FirstSent()) +
+         " queued=" + std::to_string(queue_.size()) +
+         " submissions=" + std::to_string(aEntry.Spec().submissions);
+}
+
 void SchedulerState::Admit(std::string_view aFront,
                            Work aWork,
                            SchedulerEffects& aEffects)
@@ -211,11 +224,13 @@
       spread);
     Note(
       aEffects, "admit", entry.Spec().id, nullptr, "refused", verdict.reason);
+    aEffects.decisions.back().inputs = DescribeInputs(entry);
     Answer(
       entry, WorkOutcome::Refused, verdict.reason, Duration(wait), aEffects);
     return;
   }
   Note(aEffects, "admit", entry.Spec().id, nullptr, "accepted");
+  aEffects.decisions.back().inputs = DescribeInputs(entry);
   works_.emplace(entry.Spec().id, std::move(owned));
   if (entry.Spec().submissions > 0 && MayHideRuns()) {
     entry.heldUntil = now_ + policy_.takeoverDoubt;
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -162,6 +162,13 @@
   aTask.deadlineClockMs = deadline;
   aEntry.MarkStarted(now_);
 
+  Note(aEffects, "start", aEntry.Spec().id, &aEndpoint, "sent");
+  aEffects.decisions.back().inputs =
+    "step=" + std::to_string(aTask.step) +
+    " index=" + std::to_string(aTask.index) +
+    " run=" + std::to_string(aTask.run) +
+    " freeCpuMillis=" + std::to_string(aEndpoint.free.cpuMillis);
+
   StartOrder order;
   order.target = TargetOf(aEndpoint);
   order.run = { { aEntry.Spec().id, aTask.step, aTask.index }, aTask.run };
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -66,6 +66,8 @@
   //! Whether work that needed no more, and had as much time, was refused just
   //! now.
   bool IsLikeRefused(const WorkEntry& aEntry) const;
+  //! For the log.
+  std::string DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
   std::int64_t SizeOf(const WorkEntry& aEntry) const;
   std::optional<TimePoint> PlaceAll(Forecast& aForecast,
