--- /dev/null
+++ b/include/hemlockhaven/metrics/LatencyHistogram.h
@@ -0,0 +1,35 @@
+#ifndef HEMLOCKHAVEN_METRICS_LATENCYHISTOGRAM_H
+#define HEMLOCKHAVEN_METRICS_LATENCYHISTOGRAM_H
+
+#include "hemlockhaven/core/Time.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace hemlockhaven {
+
+//! Counts durations in buckets that double from 1 ms to 16 s.
+class LatencyHistogram
+{
+public:
+  static constexpr std::size_t kBuckets = 15;
+
+  void Record(Duration aDuration);
+
+  //! Cumulative buckets, sum and count in the Prometheus text format; times in
+  //! seconds. aLabels: "outcome=\"completed\"" or empty.
+  std::string Write(std::string_view aName, std::string_view aLabels) const;
+
+private:
+  //! The last one holds what is longer than all bounds.
+  std::array<std::atomic<std::uint64_t>, kBuckets + 1> counts_{};
+  std::atomic<std::int64_t> sum_{ 0 }; //!< Microseconds.
+};
+
+}
+
+#endif
