--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -12,6 +12,10 @@
 
 //! An endpoint answers a new leader's first look after a few round trips.
 constexpr Duration kFirstLook{ 20000 };
+//! A forecast for more endpoints plays a sample of about so many, with the same
+//! share of the queue and of the work's tasks: its cost does not grow with the
+//! fleet, and so many endpoints are alike enough.
+constexpr std::size_t kMostForecastEndpoints = 64;
 //! A refusal stands for like work for so long: less than the shortest task, in
 //! which little room becomes free. Spares most forecasts under an overload.
 constexpr Duration kRefusalHolds{ 4000 };
@@ -55,12 +59,21 @@
   });
 }
 
-Forecast SchedulerState::MakeForecast() const
+std::size_t SchedulerState::SampleStride() const
+{
+  return 1 + (endpoints_.size() - 1) / kMostForecastEndpoints;
+}
+
+Forecast SchedulerState::MakeForecast(std::size_t aStride) const
 {
   Forecast forecast(now_);
+  std::size_t number = 0;
   const bool takingOver = now_ - ledSince_ < policy_.takeover;
   std::vector<Release> releases;
   for (const auto& [id, endpoint] : endpoints_) {
+    if (number++ % aStride != 0) {
+      continue;
+    }
     releases.clear();
     if (endpoint.IsUsable(now_, policy_.silence)) {
       for (const auto& [entry, task] : endpoint.runs) {
@@ -107,11 +120,13 @@
 }
 
 std::optional<TimePoint> SchedulerState::PlaceAll(Forecast& aForecast,
-                                                  const WorkEntry& aEntry) const
+                                                  const WorkEntry& aEntry,
+                                                  std::size_t aStride) const
 {
   TimePoint last = now_;
   PlacementDemand demand;
   demand.latestEnd = aEntry.LatestEnd();
+  std::size_t number = 0;
   for (const TaskEntry& task : aEntry.Tasks()) {
     if (task.phase != TaskPhase::Waiting) {
       if (task.IsActive()) {
@@ -119,6 +134,9 @@
       }
       continue;
     }
+    if (number++ % aStride != 0) {
+      continue;
+    }
     // Later steps follow the end of all that was placed so far.
     demand.now = aEntry.StepOf(task).after.empty() ? now_ : last;
     demand.each = aEntry.StepOf(task).each;
@@ -134,14 +152,16 @@
 
 SchedulerState::Verdict SchedulerState::Judge(const WorkEntry& aEntry) const
 {
-  Forecast forecast = MakeForecast();
+  const std::size_t stride = SampleStride();
+  Forecast forecast = MakeForecast(stride);
+  std::size_t number = 0;
   TimePoint backlogEnd = now_;
   bool judged = false;
   Verdict verdict;
   // Work that has to end earlier goes first; later work must not become late.
   const auto judge = [&] {
     judged = true;
-    const auto end = PlaceAll(forecast, aEntry);
+    const auto end = PlaceAll(forecast, aEntry, stride);
     if (!end) {
       verdict.reason = "no endpoint can run it now";
       verdict.retryAfter = policy_.leastRetryAfter;
@@ -158,7 +178,10 @@
     if (!judged && aEntry.LatestEnd() < key.first && !judge()) {
       return verdict;
     }
-    const auto end = PlaceAll(forecast, *queued);
+    if (number++ % stride != 0) {
+      continue;
+    }
+    const auto end = PlaceAll(forecast, *queued, 1);
     if (!end) {
       continue;
     }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -62,7 +62,9 @@
     Duration retryAfter{ 0 };
   };
   Verdict Judge(const WorkEntry& aEntry) const;
-  Forecast MakeForecast() const;
+  //! Every how many endpoints are part of a forecast.
+  std::size_t SampleStride() const;
+  Forecast MakeForecast(std::size_t aStride) const;
   //! Whether work that needed no more, and had as much time, was refused just
   //! now.
   bool IsLikeRefused(const WorkEntry& aEntry) const;
@@ -70,8 +72,10 @@
   std::string DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
   std::int64_t SizeOf(const WorkEntry& aEntry) const;
+  //! Places the waiting tasks, or every so many of them.
   std::optional<TimePoint> PlaceAll(Forecast& aForecast,
-                                    const WorkEntry& aEntry) const;
+                                    const WorkEntry& aEntry,
+                                    std::size_t aStride) const;
   Duration PredictTask(const WorkEntry& aEntry, std::uint32_t aStep) const;
   bool CanEverRun(const WorkEntry& aEntry) const;
 
