--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -51,7 +51,7 @@
               const SchedulerPolicy& aPolicy,
               const ElectionTimes& aTimes,
               CoordinatorHooks aHooks,
-              Clock aClock,
+              const Clock& aClock,
               WallClock aWallClock);
 
   // From callers.
@@ -95,7 +95,7 @@
 private:
   std::shared_ptr<Scheduler> SchedulerOf(const std::string& aService);
   std::vector<std::shared_ptr<Scheduler>> Schedulers() const;
-  void Apply(Scheduler& aScheduler, SchedulerEffects aEffects);
+  void Apply(Scheduler& aScheduler, const SchedulerEffects& aEffects);
   void Apply(FrontEffects aEffects);
   void Apply(const ElectionEffects& aEffects);
   void Note(std::string_view aStep,
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -8,7 +8,7 @@
                          const SchedulerPolicy& aPolicy,
                          const ElectionTimes& aTimes,
                          CoordinatorHooks aHooks,
-                         Clock aClock,
+                         const Clock& aClock,
                          WallClock aWallClock)
   : name_(aSelf.name)
   , policy_(aPolicy)
@@ -61,7 +61,7 @@
   hooks_.note(decision);
 }
 
-void Coordinator::Apply(Scheduler& aScheduler, SchedulerEffects aEffects)
+void Coordinator::Apply(Scheduler& aScheduler, const SchedulerEffects& aEffects)
 {
   for (const Decision& decision : aEffects.decisions) {
     hooks_.note(decision);
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -216,11 +216,10 @@
   CallerAnswer answer{ OutcomeOf(aAnswer.outcome),
                        aAnswer.reason,
                        aAnswer.retryAfter };
-  if (answer.outcome == CallerOutcome::Overloaded &&
-      entry.work.submissions > 0) {
-    // An earlier leader may have run a part of it.
-    answer.outcome = CallerOutcome::TimedOut;
-  } else if (answer.outcome == CallerOutcome::Cancelled) {
+  // An earlier leader may have run a part of what the present one refuses.
+  const bool mayHaveRun =
+    answer.outcome == CallerOutcome::Overloaded && entry.work.submissions > 0;
+  if (mayHaveRun || answer.outcome == CallerOutcome::Cancelled) {
     answer.outcome = CallerOutcome::TimedOut;
   }
   Finish(shard, aAnswer.workId, std::move(answer), effects);
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -81,12 +81,13 @@
       ranked.emplace_back(Rank(known.member), &known);
     }
   }
-  std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-    return a.first < b.first;
-  });
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
   const std::size_t ahead = static_cast<std::size_t>(
-    std::count_if(ranked.begin(), ranked.end(), [this](const auto& a) {
-      return a.first < Rank(self_);
+    std::count_if(ranked.begin(), ranked.end(), [this](const auto& aRanked) {
+      return aRanked.first < Rank(self_);
     }));
   const bool small = ranked.size() < times_.smallGroup;
   const bool selfMatters = token_ != 0 || ahead < times_.successors;
@@ -96,8 +97,8 @@
     const bool matters = known.last.leaderToken != 0 ||
                          std::any_of(ranked.begin(),
                                      ranked.end(),
-                                     [&known = known](const auto& a) {
-                                       return a.second == &known;
+                                     [&known = known](const auto& aRanked) {
+                                       return aRanked.second == &known;
                                      });
     const bool fast =
       known.alive ? small || selfMatters || matters : discovering;
@@ -431,7 +432,7 @@
 {
   const std::lock_guard<std::mutex> lock(mutex_);
   return static_cast<std::size_t>(
-    std::count_if(members_.begin(), members_.end(), [this](const auto& aPair) {
+    std::count_if(members_.begin(), members_.end(), [](const auto& aPair) {
       return aPair.second.alive;
     }));
 }
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -213,7 +213,8 @@
   packer.pack_array(3);
   packer.pack(kVersion);
   packer.pack(static_cast<std::uint32_t>(aMessage.index()));
-  std::visit([&packer](const auto& a) { packer.pack(FieldsOf(a)); }, aMessage);
+  std::visit([&packer](const auto& aFields) { packer.pack(FieldsOf(aFields)); },
+             aMessage);
   return { buffer.data(), buffer.size() };
 }
 
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -162,7 +162,7 @@
   aTask.deadlineClockMs = deadline;
   aEntry.MarkStarted(now_);
 
-  Note(aEffects, "start", aEntry.Spec().id, &aEndpoint, "sent");
+  Note(aEffects, "place", aEntry.Spec().id, &aEndpoint, "sent");
   aEffects.decisions.back().inputs =
     "step=" + std::to_string(aTask.step) +
     " index=" + std::to_string(aTask.index) +
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -135,7 +135,7 @@
       }
       return;
     case OrderOutcome::Unknown:
-      Note(aEffects, "start", entry->Spec().id, endpoint, "no answer");
+      Note(aEffects, "place", entry->Spec().id, endpoint, "no answer");
       // Proves the endpoint silent until it answers a look.
       endpoint->heard = false;
       if (!stopping) {
@@ -330,10 +330,12 @@
   for (const auto& [entry, task] : aEndpoint.runs) {
     const RunKey key{ { entry->Spec().id, task->step, task->index },
                       task->run };
-    const bool listed = std::any_of(
-      aReport.running.begin(), aReport.running.end(), [&key](const auto& a) {
-        return a.run == key.run && a.task == key.task;
-      });
+    const bool listed =
+      std::any_of(aReport.running.begin(),
+                  aReport.running.end(),
+                  [&key](const RunKey& aRun) {
+                    return aRun.run == key.run && aRun.task == key.task;
+                  });
     const bool shouldBeListed =
       task->phase == TaskPhase::Running && task->confirmedAt < asked;
     const bool cannotStart =
@@ -364,15 +366,15 @@
   endpoint->looking = false;
   endpoint->nextLookAt =
     now_ + (endpoint->isListed ? policy_.lookPause : policy_.unlistedLookPause);
-  if (endpoint->heard || endpoint->taken) {
+  const bool fenced = aOutcome == OrderOutcome::Fenced;
+  if (endpoint->heard || (fenced && endpoint->taken)) {
     Note(aEffects,
          "endpoint",
          "",
          endpoint,
-         aOutcome == OrderOutcome::Fenced ? "taken by another leader"
-                                          : "look failed");
+         fenced ? "taken by another leader" : "look failed");
   }
-  if (aOutcome == OrderOutcome::Fenced) {
+  if (fenced) {
     endpoint->taken = false;
     aEffects.fencedByOther = true;
     return;
--- a/tests/coordinator/ClusterTest.cpp
+++ b/tests/coordinator/ClusterTest.cpp
@@ -51,77 +51,77 @@
 const FaultRow kFaultRows[] = {
   { "losing work without a fault", [](Cluster&) {}, 1 },
   { "losing the work of a dead leader",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t i = 0; i < 5; ++i) {
-        a.Kill(i);
-        a.Time().RunFor(Duration(700000));
-        a.Restart(i);
-        a.Time().RunFor(Duration(800000));
+        aCluster.Kill(i);
+        aCluster.Time().RunFor(Duration(700000));
+        aCluster.Restart(i);
+        aCluster.Time().RunFor(Duration(800000));
       }
     },
     0.9 },
   { "a paused leader that goes on as if nothing happened",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t i = 0; i < 5; ++i) {
-        a.Pause(i, 2 * kSecond);
-        a.Time().RunFor(Duration(1500000));
+        aCluster.Pause(i, 2 * kSecond);
+        aCluster.Time().RunFor(Duration(1500000));
       }
     },
     0.5 },
   { "two leaders on both sides of a cut that start the same task",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t zone = 0; zone < 3; ++zone) {
-        a.CutZone(zone, true);
-        a.Time().RunFor(2 * kSecond);
-        a.CutZone(zone, false);
-        a.Time().RunFor(kSecond);
+        aCluster.CutZone(zone, true);
+        aCluster.Time().RunFor(2 * kSecond);
+        aCluster.CutZone(zone, false);
+        aCluster.Time().RunFor(kSecond);
       }
     },
     0.6 },
   { "forgetting endpoints that leave the list during a cut",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t zone = 0; zone < 3; ++zone) {
-        a.CutZone(zone, true);
-        a.Time().RunFor(kSecond);
-        a.List({ zone, zone + 3, zone + 6, zone + 9 });
-        a.Time().RunFor(2 * kSecond);
-        a.CutZone(zone, false);
-        a.Time().RunFor(kSecond);
-        a.List();
+        aCluster.CutZone(zone, true);
+        aCluster.Time().RunFor(kSecond);
+        aCluster.List({ zone, zone + 3, zone + 6, zone + 9 });
+        aCluster.Time().RunFor(2 * kSecond);
+        aCluster.CutZone(zone, false);
+        aCluster.Time().RunFor(kSecond);
+        aCluster.List();
       }
     },
     0.6 },
   { "a restart before the lease of a silent endpoint lapsed",
-    [](Cluster& a) {
-      a.SetSilent(0, true);
-      a.SetSilent(5, true);
-      a.Time().RunFor(3 * kSecond);
-      a.SetSilent(0, false);
-      a.SetSilent(5, false);
+    [](Cluster& aCluster) {
+      aCluster.SetSilent(0, true);
+      aCluster.SetSilent(5, true);
+      aCluster.Time().RunFor(3 * kSecond);
+      aCluster.SetSilent(0, false);
+      aCluster.SetSilent(5, false);
     },
     0.8 },
   { "waiting for runs of an endpoint that crashed",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t i = 0; i < 4; ++i) {
-        a.CrashEndpoint(i);
-        a.Time().RunFor(kSecond);
+        aCluster.CrashEndpoint(i);
+        aCluster.Time().RunFor(kSecond);
       }
     },
     0.9 },
   { "sending work to an endpoint that fails all",
-    [](Cluster& a) {
-      a.Endpoint(2).failsAll = true;
-      a.Time().RunFor(5 * kSecond);
+    [](Cluster& aCluster) {
+      aCluster.Endpoint(2).failsAll = true;
+      aCluster.Time().RunFor(5 * kSecond);
     },
     0.9 },
   { "all daemons gone at once",
-    [](Cluster& a) {
+    [](Cluster& aCluster) {
       for (std::size_t i = 0; i < 5; ++i) {
-        a.Kill(i);
+        aCluster.Kill(i);
       }
-      a.Time().RunFor(kSecond);
+      aCluster.Time().RunFor(kSecond);
       for (std::size_t i = 0; i < 5; ++i) {
-        a.Restart(i);
+        aCluster.Restart(i);
       }
     },
     0.6 },
--- a/tests/front/FrontDeskTest.cpp
+++ b/tests/front/FrontDeskTest.cpp
@@ -62,7 +62,7 @@
   std::string takenFrom;
 
 private:
-  void Note(FrontEffects aEffects)
+  void Note(const FrontEffects& aEffects)
   {
     for (const auto& submission : aEffects.submissions) {
       handedTo += submission.leader;
@@ -91,127 +91,127 @@
 
 const DeskRow kDeskRows[] = {
   { "an answer that does not reach the caller",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Answer("a", WorkOutcome::Completed);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Completed);
     },
     "a",
     "",
     1,
     CallerOutcome::Completed },
   { "two answers",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Answer("a", WorkOutcome::Completed);
-      a.Answer("a", WorkOutcome::Failed);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Completed);
+      aBench.Answer("a", WorkOutcome::Failed);
     },
     "a",
     "",
     1,
     CallerOutcome::Completed },
   { "losing work that came before a leader was known",
-    [](Bench& a) {
-      a.Accept();
-      a.Wait(200);
-      a.Leader("a");
-      a.Answer("a", WorkOutcome::Completed);
+    [](Bench& aBench) {
+      aBench.Accept();
+      aBench.Wait(200);
+      aBench.Leader("a");
+      aBench.Answer("a", WorkOutcome::Completed);
     },
     "a",
     "",
     1,
     CallerOutcome::Completed },
   { "letting a caller wait for a leader that does not come",
-    [](Bench& a) {
-      a.Accept();
-      a.Wait(500);
+    [](Bench& aBench) {
+      aBench.Accept();
+      aBench.Wait(500);
     },
     "",
     "",
     1,
     CallerOutcome::Unavailable },
   { "losing work when the leader changes",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Leader("b");
-      a.Answer("a", WorkOutcome::Completed);
-      a.Answer("b", WorkOutcome::Completed);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Leader("b");
+      aBench.Answer("a", WorkOutcome::Completed);
+      aBench.Answer("b", WorkOutcome::Completed);
     },
     "ab",
     "",
     1,
     CallerOutcome::Completed },
   { "losing work that a leader gave back",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Answer("a", WorkOutcome::Moved);
-      a.Leader("a");
-      a.Answer("a", WorkOutcome::Completed);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Moved);
+      aBench.Leader("a");
+      aBench.Answer("a", WorkOutcome::Completed);
     },
     "aa",
     "",
     1,
     CallerOutcome::Completed },
   { "calling work not run that an earlier leader may have run",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Leader("b");
-      a.Answer("b", WorkOutcome::Refused);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Leader("b");
+      aBench.Answer("b", WorkOutcome::Refused);
     },
     "ab",
     "",
     1,
     CallerOutcome::TimedOut },
   { "hiding that refused work has not run",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Answer("a", WorkOutcome::Refused);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Refused);
     },
     "a",
     "",
     1,
     CallerOutcome::Overloaded },
   { "running on for a caller that left",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Leave();
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Leave();
     },
     "a",
     "a",
     0,
     CallerOutcome::Completed },
   { "running on after the caller's deadline",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Wait(1600);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Wait(1600);
     },
     "a",
     "a",
     1,
     CallerOutcome::TimedOut },
   { "leaving callers without an answer at the end",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.End();
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.End();
     },
     "a",
     "a",
     1,
     CallerOutcome::TimedOut },
   { "answering the connection that the caller gave up",
-    [](Bench& a) {
-      a.Leader("a");
-      a.Accept();
-      a.Accept();
-      a.Answer("a", WorkOutcome::Completed);
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Completed);
     },
     "a",
     "",
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -111,94 +111,94 @@
 
 const ElectionRow kElectionRows[] = {
   { "a leader before others could be found",
-    [](Bench& a) { a.Wait(200); },
+    [](Bench& aBench) { aBench.Wait(200); },
     "",
     false },
   { "nobody leading a daemon that is alone",
-    [](Bench& a) { a.Wait(1000); },
+    [](Bench& aBench) { aBench.Wait(1000); },
     "self",
     true },
   { "leading beside a larger daemon that may lead",
-    [](Bench& a) {
-      a.Hear("large", 2, 0);
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Hear("large", 2, 0);
+      aBench.Wait(1000);
     },
     "",
     false },
   { "not following a leader",
-    [](Bench& a) {
-      a.Hear("large", 2, 7);
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Hear("large", 2, 7);
+      aBench.Wait(1000);
     },
     "large",
     false },
   { "two leaders that see each other",
-    [](Bench& a) {
-      a.Wait(1000);
-      a.Hear("large", 2, 7);
-      a.Wait(300);
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("large", 2, 7);
+      aBench.Wait(300);
     },
     "large",
     false },
   { "yielding to a smaller daemon for its higher token",
-    [](Bench& a) {
-      a.Wait(1000);
-      a.Hear("small", 0.5, kHighToken);
-      a.Wait(300);
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("small", 0.5, kHighToken);
+      aBench.Wait(300);
     },
     "self",
     true },
   { "keeping a leader that fell silent",
-    [](Bench& a) {
-      a.Hear("large", 2, 7);
-      a.Wait(1000);
-      a.Silence();
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Hear("large", 2, 7);
+      aBench.Wait(1000);
+      aBench.Silence();
+      aBench.Wait(1000);
     },
     "self",
     true },
   { "keeping a leader that does not hear this daemon",
-    [](Bench& a) {
-      a.Hear("large", 2, 7);
-      a.Wait(1000);
-      a.echoes = false;
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Hear("large", 2, 7);
+      aBench.Wait(1000);
+      aBench.echoes = false;
+      aBench.Wait(1000);
     },
     "self",
     true },
   { "leading on after another leader took the endpoints of a minority",
-    [](Bench& a) {
-      a.Hear("b", 0.5, 0);
-      a.Hear("c", 0.5, 0);
-      a.Wait(1000);
-      a.Silence();
-      a.Wait(1000);
-      a.Note(a.Election().Fenced());
+    [](Bench& aBench) {
+      aBench.Hear("b", 0.5, 0);
+      aBench.Hear("c", 0.5, 0);
+      aBench.Wait(1000);
+      aBench.Silence();
+      aBench.Wait(1000);
+      aBench.Note(aBench.Election().Fenced());
     },
     "",
     false },
   { "a majority that gives up its endpoints",
-    [](Bench& a) {
-      a.Hear("b", 0.5, 0);
-      a.Hear("c", 0.5, 0);
-      a.Wait(1000);
-      a.Note(a.Election().Fenced());
+    [](Bench& aBench) {
+      aBench.Hear("b", 0.5, 0);
+      aBench.Hear("c", 0.5, 0);
+      aBench.Wait(1000);
+      aBench.Note(aBench.Election().Fenced());
     },
     "self",
     true },
   { "leading while it stops",
-    [](Bench& a) {
-      a.Wait(1000);
-      a.Note(a.Election().Leave());
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Note(aBench.Election().Leave());
+      aBench.Wait(1000);
     },
     "",
     false },
   { "leading without endpoints",
-    [](Bench& a) {
-      a.Wait(1000);
-      a.Note(a.Election().SetCanLead(false, "no endpoints"));
-      a.Wait(1000);
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Note(aBench.Election().SetCanLead(false, "no endpoints"));
+      aBench.Wait(1000);
     },
     "",
     false },
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -35,7 +35,7 @@
   Work work;
   work.id = "w";
   work.service = "s";
-  work.payload = std::string("bytes\0and more", 14);
+  work.payload = std::string("bytes") + '\0' + "and more";
   WorkStep step;
   step.count = 3;
   step.each = { 1, 2, 3 };
@@ -99,7 +99,8 @@
   for (std::size_t length = 0; length < bytes.size(); ++length) {
     CHECK_FALSE(DecodeLinkMessage({ bytes.data(), length }).has_value());
   }
-  const std::string foreign = "\x93\x07\x00\x90"; // Of another version.
+  // Of another version.
+  const std::string foreign{ char(0x93), 7, 0, char(0x90) };
   CHECK_FALSE(DecodeLinkMessage(foreign).has_value());
 }
 
@@ -111,8 +112,9 @@
   std::vector<std::string> received;
   std::string ended;
   LinkNetwork::Hooks hooks;
-  hooks.received = [&received](std::string_view aMember, const LinkMessage& a) {
-    received.push_back(std::string(aMember) + std::to_string(a.index()));
+  hooks.received = [&received](std::string_view aMember,
+                               const LinkMessage& aMessage) {
+    received.push_back(std::string(aMember) + std::to_string(aMessage.index()));
   };
   hooks.ended = [&ended](std::string_view aMember) { ended = aMember; };
   hooks.malformed = [](std::string_view) {};
--- a/tests/metrics/LatencyHistogramTest.cpp
+++ b/tests/metrics/LatencyHistogramTest.cpp
@@ -48,10 +48,11 @@
   counters.Count("admit", "refused", "reason 0");
   std::size_t keys = 0;
   std::uint64_t first = 0;
-  counters.Visit([&](auto, auto, std::string_view aReason, std::uint64_t a) {
-    ++keys;
-    first += aReason == "reason 0" ? a : 0;
-  });
+  counters.Visit(
+    [&](auto, auto, std::string_view aReason, std::uint64_t aCount) {
+      ++keys;
+      first += aReason == "reason 0" ? aCount : 0;
+    });
   CHECK(keys <= DecisionCounters::kMostKeys + 1);
   LONGS_EQUAL(2, first);
 }
--- a/tests/net/HttpTest.cpp
+++ b/tests/net/HttpTest.cpp
@@ -99,7 +99,7 @@
   HttpClient client;
 };
 
-LeftHook Echo(const IncomingRequest& aRequest, ReplyHook aReply)
+LeftHook Echo(const IncomingRequest& aRequest, const ReplyHook& aReply)
 {
   OutgoingReply reply;
   reply.body = std::string(aRequest.method) + std::string(aRequest.target) +
@@ -229,7 +229,7 @@
 TEST(HttpClient, DoesNotSendAgainWhenAConnectionEnds)
 {
   int requests = 0;
-  Bench bench([&](const IncomingRequest&, ReplyHook) -> LeftHook {
+  Bench bench([&](const IncomingRequest&, const ReplyHook&) -> LeftHook {
     ++requests;
     return [] {};
   });
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -102,8 +102,8 @@
 
 void Cluster::ScheduleTick(std::size_t aDaemon, std::uint64_t aLife)
 {
-  Deliver(aDaemon, aLife, kTick, [this, aDaemon, aLife](Coordinator& a) {
-    a.Tick();
+  Deliver(aDaemon, aLife, kTick, [this, aDaemon, aLife](Coordinator& aNode) {
+    aNode.Tick();
     ScheduleTick(aDaemon, aLife);
   });
 }
@@ -182,20 +182,20 @@
     };
   CoordinatorHooks hooks;
   hooks.sendBeat = [this, aDaemon](const Member& aMember, const Beat& aBeat) {
-    ToMember(aDaemon, aMember.address, [aBeat](Coordinator& a) {
-      a.HeardBeat(aBeat);
+    ToMember(aDaemon, aMember.address, [aBeat](Coordinator& aNode) {
+      aNode.HeardBeat(aBeat);
     });
   };
   hooks.sendWork = [this, aDaemon, name](std::string_view aMember,
                                          const Work& aWork) {
-    ToMember(aDaemon, aMember, [name, aWork](Coordinator& a) {
-      a.HeardWork(name, aWork);
+    ToMember(aDaemon, aMember, [name, aWork](Coordinator& aNode) {
+      aNode.HeardWork(name, aWork);
     });
   };
   hooks.sendAnswer = [this, aDaemon, name](std::string_view aMember,
                                            const WorkAnswer& aAnswer) {
-    ToMember(aDaemon, aMember, [name, aAnswer](Coordinator& a) {
-      a.HeardAnswer(name, aAnswer);
+    ToMember(aDaemon, aMember, [name, aAnswer](Coordinator& aNode) {
+      aNode.HeardAnswer(name, aAnswer);
     });
   };
   hooks.sendCancel = [this, aDaemon, name](std::string_view aMember,
@@ -204,7 +204,7 @@
     ToMember(aDaemon,
              aMember,
              [name, id = std::string(aWorkId), reason = std::string(aReason)](
-               Coordinator& a) { a.HeardCancel(name, id, reason); });
+               Coordinator& aNode) { aNode.HeardCancel(name, id, reason); });
   };
   hooks.start = [this, aDaemon, answer](const StartOrder& aOrder, auto aDone) {
     const std::string id = aOrder.target.endpoint;
@@ -270,8 +270,8 @@
   waiting_[aWork.id] = { aDaemon, { aWork, aSent } };
   const std::uint64_t life = daemons_[aDaemon].life;
   Deliver(
-    aDaemon, life, Delay(), [this, aDaemon, aWork, aSent](Coordinator& a) {
-      a.Accept(
+    aDaemon, life, Delay(), [this, aDaemon, aWork, aSent](Coordinator& aNode) {
+      aNode.Accept(
         aWork, [this, aDaemon, aWork, aSent](const CallerAnswer& aAnswer) {
           const auto found = waiting_.find(aWork.id);
           if (found == waiting_.end() || found->second.first != aDaemon) {
@@ -310,7 +310,9 @@
       Deliver(other,
               daemons_[other].life,
               Delay(),
-              [name = node.member.name](Coordinator& a) { a.LinkLost(name); });
+              [name = node.member.name](Coordinator& aNode) {
+                aNode.LinkLost(name);
+              });
     }
   }
   std::vector<std::pair<Work, TimePoint>> orphaned;
--- a/tests/support/LoadReplay.cpp
+++ b/tests/support/LoadReplay.cpp
@@ -211,6 +211,7 @@
     }
     result.inTime = earnedSum / askedSum;
     std::vector<double> shares;
+    shares.reserve(windows.size());
     for (const auto& [number, window] : windows) {
       shares.push_back(window.second / window.first);
     }
