Begin a new term when work comes from another leader

The leader now begins a term and looks at all endpoints before it starts such work, and steps over any higher token that it hears of. Ruled out: endpoints missing from the list (both were listed).

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -87,6 +87,9 @@
   //! Endpoints follow another leader that this daemon does not see.
   ElectionEffects Fenced();
 
+  //! Begins a new term, so that endpoints refuse whoever took them since.
+  ElectionEffects Renew();
+
   //! Whether this daemon may lead; a leader that may not yields.
   ElectionEffects SetCanLead(bool aCanLead, std::string_view aReason);
 
--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -86,6 +86,9 @@
   std::vector<WorkAnswer> answers;
   std::vector<Decision> decisions;
   bool fencedByOther = false; //!< Somebody else has taken endpoints.
+  //! Another leader had this work a moment ago; only a new term and a look at
+  //! each endpoint tell what it has started.
+  bool needsNewTerm = false;
 };
 
 }
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -29,6 +29,9 @@
   //! After taking over, runs at endpoints that do not answer are over after
   //! this: the old leader gives up lost fronts, and leases lapse.
   Duration takeoverDoubt{ 1300000 };
+  //! Work of another leader begins a new term unless the term is as young as
+  //! this: such work comes in many pieces at once.
+  Duration freshTerm{ 10000 };
   //! Endpoints are expected to answer a new leader's first look within this.
   Duration takeover{ 300000 };
   //! An endpoint that left the list may still run work behind a cut for so
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -93,6 +93,8 @@
   }
   if (aEffects.fencedByOther) {
     Apply(election_.Fenced());
+  } else if (aEffects.needsNewTerm) {
+    Apply(election_.Renew());
   }
 }
 
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -232,6 +232,17 @@
   return effects;
 }
 
+ElectionEffects LeaderElection::Renew()
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ElectionEffects effects;
+  now_ = clock_();
+  if (token_ != 0 && !retakeAt_) {
+    StepUp(1, effects);
+  }
+  return effects;
+}
+
 void LeaderElection::Retake(ElectionEffects& aEffects)
 {
   if (!retakeAt_ || now_ < *retakeAt_ || token_ == 0) {
@@ -366,7 +377,8 @@
     return;
   }
   if (token_ != 0) {
-    if (highest > token_) {
+    // Includes the tokens of leaders that have yielded since.
+    if (std::max(highest, highestToken_) > token_) {
       StepUp(1, aEffects);
     }
     SetLeader(self_.name, aEffects);
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -255,8 +255,11 @@
   Note(aEffects, "admit", entry.Spec().id, nullptr, "accepted");
   aEffects.decisions.back().inputs = DescribeInputs(entry);
   works_.emplace(entry.Spec().id, std::move(owned));
-  if (entry.Spec().submissions > 0 && MayHideRuns()) {
-    entry.heldUntil = now_ + policy_.takeoverDoubt;
+  if (entry.Spec().submissions > 0) {
+    aEffects.needsNewTerm = now_ - ledSince_ > policy_.freshTerm;
+    if (aEffects.needsNewTerm || MayHideRuns()) {
+      entry.heldUntil = now_ + policy_.takeoverDoubt;
+    }
   }
   AdoptOrphans(entry, aEffects);
   if (entry.IsDone()) {
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -111,9 +111,11 @@
                                    SchedulerEffects& aEffects)
 {
   EndpointEntry* endpoint = FindEndpoint(aOrder.target.endpoint);
-  if (endpoint == nullptr || aOrder.target.fencingToken != token_) {
-    return; // Of an earlier term: the looks of this term tell.
+  if (endpoint == nullptr) {
+    return;
   }
+  // Refused by the token of this daemon's own next term, perhaps.
+  const bool isOldTerm = aOrder.target.fencingToken != token_;
   if (aReply.clockMs > 0) {
     endpoint->lease.ObserveClock(aReply.clockMs, now_);
     endpoint->heardAt = now_;
@@ -135,6 +137,9 @@
       }
       return;
     case OrderOutcome::Unknown:
+      if (isOldTerm) {
+        return; // The looks of this term tell.
+      }
       Note(aEffects, "place", entry->Spec().id, endpoint, "no answer");
       // Proves the endpoint silent until it answers a look.
       endpoint->heard = false;
@@ -144,8 +149,10 @@
       }
       return;
     case OrderOutcome::Fenced:
-      aEffects.fencedByOther = true;
-      endpoint->taken = false;
+      if (!isOldTerm) {
+        aEffects.fencedByOther = true;
+        endpoint->taken = false;
+      }
       gone = "fenced";
       break;
     case OrderOutcome::Superseded:
