Let no reply outlive its listener's I/O context

The address sanitizer found it in the listener's test, which kept a reply hook longer than the context; the daemon does not. The hook's comment now says so.

--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -35,7 +35,8 @@
   std::uint32_t retryAfterSeconds = 0; //!< 0: no such header.
 };
 
-//! Sends the reply; called once, from any thread, at once or later.
+//! Sends the reply; called once, from any thread, at once or later. Must not
+//! outlive the I/O context of its listener.
 using ReplyHook = std::function<void(OutgoingReply)>;
 //! Called if the caller leaves before the reply.
 using LeftHook = std::function<void()>;
--- a/tests/net/HttpTest.cpp
+++ b/tests/net/HttpTest.cpp
@@ -181,6 +181,7 @@
   CHECK(bench.Get(call).end == HttpEnd::Unknown);
   CHECK(RunUntil(bench.context, [&] { return left; }));
   kept(OutgoingReply()); // Goes nowhere, and does no harm.
+  kept = nullptr;        // It must not outlive the I/O context.
 }
 
 TEST(HttpListener, ClosesIdleConnectionsAndAnswersOthersWhenItDrains)
