Serve HTTP in all programs with one listener

Cause: cxxtools' HTTP server answers bytes that are no HTTP with status 500 by itself, before any code of ours (KNOWN-RED http.HttpServerNoHttp), and the project had two HTTP servers. Change: HttpServer stands on HttpListener, with a pool of threads that grows only while handlers block; cxxtools' responders are gone. The listener held a request that never ended for its idle timeout (120 s) instead of its read timeout, closed connections over its bound without a reply, and could reset a connection before the refusal of a large body was read: all three mended. Ruled out: an own responder in cxxtools; it is chosen after the header parsed. Before: test_http 1 failure (HttpServerNoHttp). After: test_http 12 of 12, test_net 7 of 7; no row of a table was changed.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,41 +1,132 @@
 #include "http/HttpServer.h"
 
-#include "http/Responder.h"
+#include "hemlockhaven/core/Error.h"
 
-#include <cxxtools/regex.h>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
+#include <exception>
+#include <string_view>
 #include <utility>
 
 namespace hemlockhaven {
 
 namespace {
 
-cxxtools::Milliseconds InMilliseconds(Duration aDuration)
+HttpListener::Limits LimitsOf(const HttpServer::Options& aOptions)
 {
-  return cxxtools::Milliseconds(
-    std::chrono::duration<double, std::milli>(aDuration).count());
+  HttpListener::Limits limits;
+  limits.bodyBytes = aOptions.bodyBytes;
+  limits.readTimeout = aOptions.readTimeout;
+  limits.idleTimeout = aOptions.keepAlive;
+  limits.connections = aOptions.connections;
+  return limits;
 }
 
+HttpReply Malformed(std::string_view aDetail)
+{
+  return ReplyOf(
+    Error::NotRun("read request", Reason::MalformedRequest, aDetail));
+}
+
+HttpReply ReplyTo(RequestFault aFault)
+{
+  switch (aFault) {
+    case RequestFault::Malformed:
+      return Malformed("the bytes are no HTTP request");
+    case RequestFault::HeaderTooLarge:
+      return Malformed("the header is too long");
+    case RequestFault::BodyTooLarge:
+      return ReplyOf(Error::NotRun(
+        "read body", Reason::BodyTooLarge, "the body is over the limit"));
+    case RequestFault::TooManyConnections:
+      break;
+  }
+  return ReplyOf(Error::NotRun("accept",
+                               Reason::TooManyWaiting,
+                               "too many connections",
+                               std::chrono::seconds(1)));
+}
+
+OutgoingReply Encode(const HttpReply& aReply)
+{
+  OutgoingReply reply;
+  reply.status = aReply.status;
+  // The header counts whole seconds; retryAfterMs in the body is exact.
+  reply.retryAfterSeconds = static_cast<std::uint32_t>(
+    (aReply.retryAfter.count() + 999'999) / 1'000'000);
+  if (!aReply.text.empty()) {
+    reply.contentType = "text/plain; version=0.0.4";
+    reply.body = aReply.text;
+  } else {
+    reply.body = aReply.body.dump(
+      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  }
+  return reply;
+}
+
+//! The parts of a request, kept while its handler waits for a thread.
+struct KeptRequest
+{
+  std::string method;
+  std::string target;
+  std::string body;
+
+  HttpRequestView View() const
+  {
+    const std::string_view all = target;
+    const std::size_t mark = all.find('?');
+    return { method,
+             all.substr(0, mark),
+             mark == std::string_view::npos ? "" : all.substr(mark + 1),
+             body };
+  }
+};
+
 }
 
 HttpServer::HttpServer(const Options& aOptions, Handler aHandler)
-  : service_(std::make_unique<Detail::Service>(aOptions, std::move(aHandler)))
-  , server_(std::make_unique<cxxtools::http::Server>(loop_))
+  : handler_(std::move(aHandler))
+  , pool_(std::make_unique<HandlerPool>(aOptions.maxThreads))
+  , listener_(
+      context_,
+      { boost::asio::ip::make_address(aOptions.address), aOptions.port },
+      LimitsOf(aOptions),
+      [this](const IncomingRequest& aRequest, ReplyHook aReply) -> LeftHook {
+        Answer(aRequest, std::move(aReply));
+        return nullptr;
+      },
+      [](RequestFault aFault) { return Encode(ReplyTo(aFault)); })
+  , thread_([this] { context_.run(); })
 {
-  server_->minThreads(aOptions.minThreads);
-  server_->maxThreads(aOptions.maxThreads);
-  server_->readTimeout(InMilliseconds(aOptions.readTimeout));
-  server_->keepAliveTimeout(InMilliseconds(aOptions.keepAlive));
-  server_->addService(cxxtools::Regex(".*"), *service_);
-  server_->listen(aOptions.address, aOptions.port);
-  thread_ = std::thread([this] { loop_.run(); });
 }
 
 HttpServer::~HttpServer()
 {
-  loop_.exit();
+  pool_.reset();
+  // Behind the replies of the handlers that have just ended.
+  boost::asio::post(context_, [this] { context_.stop(); });
   thread_.join();
-  server_.reset();
+}
+
+void HttpServer::Answer(const IncomingRequest& aRequest, ReplyHook aReply)
+{
+  if (!aRequest.header("Transfer-Encoding").empty()) {
+    aReply(Encode(Malformed("a body needs Content-Length")));
+    return;
+  }
+  pool_->Run([this,
+              request = KeptRequest{ std::string(aRequest.method),
+                                     std::string(aRequest.target),
+                                     std::string(aRequest.body) },
+              reply = std::move(aReply)] {
+    try {
+      reply(Encode(handler_(request.View())));
+    } catch (const std::exception& problem) {
+      reply(Encode(ReplyOf(
+        Error::Unknown("answer", "", Reason::Internal, problem.what()))));
+    }
+  });
 }
 
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -2,11 +2,12 @@
 #define HEMLOCKHAVEN_SRC_HTTP_HTTPSERVER_H
 
 #include "hemlockhaven/core/Time.h"
+#include "http/HandlerPool.h"
 #include "http/HttpReply.h"
 #include "http/HttpRequestView.h"
+#include "net/HttpListener.h"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/server.h>
+#include <boost/asio/io_context.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -17,7 +18,7 @@
 
 namespace hemlockhaven {
 
-//! A cxxtools HTTP server with its own event loop and thread pool.
+//! An HttpListener with a thread of its own, for handlers that may block.
 //!
 //! A handler that waits holds a thread of the pool, so maxThreads bounds the
 //! handlers that wait. A connection that sends nothing holds none.
@@ -30,26 +31,27 @@
   {
     std::string address = "127.0.0.1"; //!< IP number.
     std::uint16_t port = 0;
-    unsigned minThreads = 8;
     unsigned maxThreads = 64;
     std::size_t bodyBytes = 16U << 20U; //!< Larger bodies get 413.
-    std::size_t connections = 4000;     //!< Connections beyond it get 503.
-    Duration readTimeout = std::chrono::seconds(10); //!< For the next bytes.
-    Duration bodyTimeout = std::chrono::seconds(60); //!< For a whole body.
+    std::size_t connections = 4000;     //!< Connections beyond it get 429.
+    Duration readTimeout = std::chrono::seconds(10); //!< For a whole request.
     Duration keepAlive = std::chrono::seconds(60);
   };
 
   //! Starts to listen; throws std::exception if the address is taken.
   HttpServer(const Options& aOptions, Handler aHandler);
-  //! Stops to listen and joins the threads.
+  //! Waits for the handlers, sends their replies and stops to listen.
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
 private:
-  cxxtools::EventLoop loop_;
-  std::unique_ptr<cxxtools::http::Service> service_;
-  std::unique_ptr<cxxtools::http::Server> server_;
+  void Answer(const IncomingRequest& aRequest, ReplyHook aReply);
+
+  Handler handler_;
+  boost::asio::io_context context_{ 1 };
+  std::unique_ptr<HandlerPool> pool_;
+  HttpListener listener_;
   std::thread thread_;
 };
 
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -27,7 +27,9 @@
 {
   Limits limits;
   RequestHandler handler;
+  FaultHook fault;
   std::atomic<std::size_t> connections{ 0 };
+  std::atomic<std::size_t> refused{ 0 };
   std::atomic<bool> draining{ false };
   std::atomic<bool> stopped{ false };
   std::mutex mutex;
@@ -37,6 +39,13 @@
 
 namespace {
 
+//! Bytes of a first read: most requests fit.
+constexpr std::size_t kFirstRead = 4096;
+
+//! What a refused sender may still send before the connection is reset, so
+//! that it reads the refusal.
+constexpr std::size_t kDroppedBytes = 64U << 20U;
+
 std::string_view ToView(beast::string_view aText)
 {
   return { aText.data(), aText.size() };
@@ -65,17 +74,20 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
+  //! Counts itself with aCount, a count of aShared.
   Session(net::ip::tcp::socket aSocket,
-          std::shared_ptr<HttpListener::Shared> aShared)
+          std::shared_ptr<HttpListener::Shared> aShared,
+          std::atomic<std::size_t>& aCount)
     : stream_(std::move(aSocket))
     , shared_(std::move(aShared))
+    , count_(aCount)
   {
-    ++shared_->connections;
+    ++count_;
   }
 
   ~Session()
   {
-    --shared_->connections;
+    --count_;
     const std::lock_guard<std::mutex> lock(shared_->mutex);
     shared_->idle.erase(this);
   }
@@ -98,6 +110,36 @@
         }
       };
     }
+    if (buffer_.size() > 0) {
+      ReadRequest();
+      return;
+    }
+    stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t aCount) {
+        if (aError) {
+          self->StopWaiting();
+          return;
+        }
+        self->buffer_.commit(aCount);
+        self->ReadRequest();
+      });
+  }
+
+private:
+  bool IsRefused() const { return &count_ == &shared_->refused; }
+
+  void StopWaiting()
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    shared_->idle.erase(this);
+  }
+
+  //! Reads the rest of a request whose first bytes are there.
+  void ReadRequest()
+  {
+    stream_.expires_after(shared_->limits.readTimeout);
     http::async_read(
       stream_,
       buffer_,
@@ -106,7 +148,6 @@
                                   std::size_t) { self->OnRead(aError); });
   }
 
-private:
   void CloseIfIdle()
   {
     // A request that has begun is answered; this one has not.
@@ -118,34 +159,34 @@
 
   void OnRead(const beast::error_code& aError)
   {
-    {
-      const std::lock_guard<std::mutex> lock(shared_->mutex);
-      shared_->idle.erase(this);
-    }
+    StopWaiting();
     if (!aError) {
-      Handle();
+      if (IsRefused()) {
+        Refuse(RequestFault::TooManyConnections);
+      } else {
+        Handle();
+      }
       return;
     }
-    // The caller's fault gets a status; a connection that ended gets nothing.
-    unsigned status = 0;
+    // The caller's fault gets a reply; a connection that ended gets nothing.
     if (aError == http::error::body_limit) {
-      status = 413;
-    } else if (aError == http::error::header_limit) {
-      status = 431;
+      Refuse(RequestFault::BodyTooLarge);
+    } else if (aError == http::error::header_limit ||
+               aError == http::error::buffer_overflow) {
+      Refuse(RequestFault::HeaderTooLarge);
     } else if (aError.category() ==
                  make_error_code(http::error::bad_method).category() &&
                aError != http::error::end_of_stream &&
                aError != http::error::partial_message) {
-      status = 400;
-    }
-    if (status == 0) {
-      return;
+      Refuse(RequestFault::Malformed);
     }
+  }
+
+  void Refuse(RequestFault aFault)
+  {
     keepAlive_ = false;
     waiting_ = true;
-    OutgoingReply reply;
-    reply.status = status;
-    Write(Encode(reply, false));
+    Write(Encode(shared_->fault(aFault), false));
   }
 
   void Handle()
@@ -235,11 +276,31 @@
         beast::error_code atEnd; // The caller may have closed first.
         self->stream_.socket().shutdown(net::ip::tcp::socket::shutdown_send,
                                         atEnd);
+        self->buffer_.clear();
+        self->DropRest(0);
+      });
+  }
+
+  //! Reads what the caller still sends: closing before would reset the
+  //! connection, and the caller might not see the reply.
+  void DropRest(std::size_t aDropped)
+  {
+    if (aDropped > kDroppedBytes) {
+      return;
+    }
+    stream_.async_read_some(
+      buffer_.prepare(kFirstRead),
+      [self = shared_from_this(), aDropped](const beast::error_code& aError,
+                                            std::size_t aCount) {
+        if (!aError) {
+          self->DropRest(aDropped + aCount);
+        }
       });
   }
 
   beast::tcp_stream stream_;
   std::shared_ptr<HttpListener::Shared> shared_;
+  std::atomic<std::size_t>& count_;
   beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string bytes_;
@@ -250,16 +311,39 @@
 
 }
 
+OutgoingReply BareReply(RequestFault aFault)
+{
+  OutgoingReply reply;
+  switch (aFault) {
+    case RequestFault::Malformed:
+      reply.status = 400;
+      break;
+    case RequestFault::HeaderTooLarge:
+      reply.status = 431;
+      break;
+    case RequestFault::BodyTooLarge:
+      reply.status = 413;
+      break;
+    case RequestFault::TooManyConnections:
+      reply.status = 503;
+      reply.retryAfterSeconds = 1;
+      break;
+  }
+  return reply;
+}
+
 HttpListener::HttpListener(net::io_context& aContext,
                            const net::ip::tcp::endpoint& aAddress,
                            const Limits& aLimits,
-                           RequestHandler aHandler)
+                           RequestHandler aHandler,
+                           FaultHook aFault)
   : context_(aContext)
   , acceptor_(net::make_strand(aContext))
   , shared_(std::make_shared<Shared>())
 {
   shared_->limits = aLimits;
   shared_->handler = std::move(aHandler);
+  shared_->fault = std::move(aFault);
   acceptor_.open(aAddress.protocol());
   acceptor_.set_option(net::socket_base::reuse_address(true));
   acceptor_.bind(aAddress);
@@ -307,9 +391,11 @@
       if (shared->stopped || aError == net::error::operation_aborted) {
         return;
       }
-      if (!aError && shared->connections < shared->limits.connections) {
+      const bool isFull = shared->connections >= shared->limits.connections;
+      auto& count = isFull ? shared->refused : shared->connections;
+      if (!aError && (!isFull || count < shared->limits.refusedConnections)) {
         SetSocketOptions(aSocket);
-        std::make_shared<Session>(std::move(aSocket), shared)->Read();
+        std::make_shared<Session>(std::move(aSocket), shared, count)->Read();
       }
       Accept();
     });
--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -45,6 +45,21 @@
 using RequestHandler =
   std::function<LeftHook(const IncomingRequest&, ReplyHook)>;
 
+//! Why a request does not reach the handler.
+enum class RequestFault
+{
+  Malformed,
+  HeaderTooLarge,
+  BodyTooLarge,
+  TooManyConnections,
+};
+
+//! The reply to a request that does not reach the handler.
+using FaultHook = std::function<OutgoingReply(RequestFault)>;
+
+//! A reply with the status that fits best and no body.
+OutgoingReply BareReply(RequestFault aFault);
+
 //! An HTTP server on an I/O context. A request that waits for its reply holds a
 //! connection and no thread.
 class HttpListener
@@ -56,14 +71,17 @@
     std::size_t bodyBytes = std::size_t{ 1 } << 20U;
     Duration readTimeout{ 10000000 };  //!< For a request once it has begun.
     Duration idleTimeout{ 120000000 }; //!< Between requests.
-    std::size_t connections = 3000;    //!< Beyond: closed at once.
+    std::size_t connections = 3000;    //!< Beyond: refused.
+    //! Connections that are refused at a time; beyond: closed at once.
+    std::size_t refusedConnections = 100;
   };
 
   //! Listens; throws std::exception if the address is taken.
   HttpListener(boost::asio::io_context& aContext,
                const boost::asio::ip::tcp::endpoint& aAddress,
                const Limits& aLimits,
-               RequestHandler aHandler);
+               RequestHandler aHandler,
+               FaultHook aFault = BareReply);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -41,7 +41,7 @@
   Duration attemptFloor{ 0 };
   Duration attemptCeiling{ 0 };
   Duration keepFinished{ 0 };
-  Duration readTimeout{ 0 }; //!< For the next bytes of a request.
+  Duration readTimeout{ 0 }; //!< For a whole request.
 };
 
 //! The checked settings of one daemon. Defaults are in the table of keys.
--- a/src/settings/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -119,7 +119,7 @@
     [](Settings& aTo, const json& aValue) { aTo.limits.attemptCeiling = Milliseconds(aValue); } },
   { "limits.keepFinishedMs", T::Number, 1000, 24 * kHourMs, "", "600000", "finished jobs stay readable for this long, in ms",
     [](Settings& aTo, const json& aValue) { aTo.limits.keepFinished = Milliseconds(aValue); } },
-  { "limits.readTimeoutMs", T::Number, 100, kHourMs, "", "10000", "a connection that sends part of a request and then nothing is closed after this time, in ms",
+  { "limits.readTimeoutMs", T::Number, 100, kHourMs, "", "10000", "a connection whose request has begun and is not whole after this time is closed, in ms",
     [](Settings& aTo, const json& aValue) { aTo.limits.readTimeout = Milliseconds(aValue); } },
   { "leaveDelayMs", T::Number, 0, 60'000, "", "2000", "from the loss of readiness to the refusal of new work, in ms",
     [](Settings& aTo, const json& aValue) { aTo.leaveDelay = Milliseconds(aValue); } },
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -21,7 +21,6 @@
 {
   HttpServer::Options options;
   options.port = aPort;
-  options.minThreads = 2;
   options.maxThreads = 4;
   options.bodyBytes = kBodyBytes;
   options.connections = 16;
