Pace new terms, and keep fragments of large groups from leading

Change: all new terms are paced alike (at once, then 40 ms doubling). In groups over 12, less than a sixth of those alive lately is a fragment: it stops leading, and leads only after 1 to 2 s alone; fenced, it stays away for 16 s. Conclusion: not enough; the leader's overload itself is next.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -46,8 +46,15 @@
   Duration retakePause{ 40000 };
   //! Daemons that may follow a leader, in order of preference.
   std::size_t successors = 3;
-  //! Up to so many members all beat fast.
+  //! Up to so many members all beat fast, and any number of them may lead.
   std::size_t smallGroup = 12;
+  //! In larger groups, less than one in so many members is a fragment: too
+  //! slow to hear the others, or cut off by itself. An availability zone is
+  //! more.
+  std::size_t fragment = 6;
+  //! A fragment leads after this, and again as much by its name: the others
+  //! may all have lost power.
+  Duration fragmentSettle{ 1000000 };
 };
 
 //! What changed, in order.
@@ -126,11 +133,16 @@
   //! Sets how often each member gets beats.
   void PlanBeats();
   bool HasMajority() const;
+  bool IsFragment() const;
+  //! How long this daemon waits without a leader before it leads.
+  Duration Settle() const;
   void Lose(Known& aKnown, ElectionEffects& aEffects);
   void Elect(ElectionEffects& aEffects);
   //! Leads with a token that many rounds above all that are known.
   void StepUp(std::uint64_t aRounds, ElectionEffects& aEffects);
-  //! Takes endpoints back from a leader that is not seen, if it is time.
+  //! Plans to raise the token: at once, or after a pause if that was lately.
+  void PlanRetake();
+  //! Takes endpoints back from another leader, if it is time.
   void Retake(ElectionEffects& aEffects);
   void StepDown(std::string_view aReason, ElectionEffects& aEffects);
   void SetLeader(const std::string& aName, ElectionEffects& aEffects);
@@ -152,6 +164,7 @@
   TimePoint leaderlessSince_;
   TimePoint tickedAt_;
   TimePoint resumedAt_{};
+  bool ledAsFragment_ = false; //!< When it began to lead.
   bool canLead_ = false;
   bool leaving_ = false;
   TimePoint awayUntil_{};
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -128,6 +128,31 @@
   return 2 * present > all || (2 * present == all && smallestPresent);
 }
 
+bool LeaderElection::IsFragment() const
+{
+  std::size_t present = 1;
+  std::size_t all = 1;
+  for (const auto& [address, known] : members_) {
+    if (known.heard && !known.last.leaving && !known.gone &&
+        now_ - known.heardAt <= times_.forgetMember) {
+      ++all;
+      present += IsAlive(known) ? 1 : 0;
+    }
+  }
+  return all > times_.smallGroup && present * times_.fragment < all;
+}
+
+Duration LeaderElection::Settle() const
+{
+  if (!IsFragment()) {
+    return times_.settle;
+  }
+  // Fragments that are alone at the same time do not all take over at once.
+  constexpr std::uint64_t kSteps = 16;
+  return times_.fragmentSettle +
+         times_.fragmentSettle * (HashName(self_.name) % kSteps) / kSteps;
+}
+
 ElectionEffects LeaderElection::Heard(const Beat& aBeat)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -212,19 +237,13 @@
     return effects;
   }
   if (HasMajority()) {
-    constexpr std::uint32_t kMostPauses = 3;
-    const bool again = now_ - fencedAt_ < times_.fencedPause;
-    fencedInRow_ = again ? std::min(fencedInRow_ + 1, kMostStepDoublings) : 0;
-    fencedAt_ = now_;
-    fencedAt_ = now_;
-    retakeAt_ = now_;
-    if (fencedInRow_ > 0) {
-      retakeAt_ = now_ + times_.retakePause *
-                           (1U << std::min(fencedInRow_ - 1, kMostPauses));
-    }
+    PlanRetake();
     Retake(effects);
     return effects;
   }
+  if (IsFragment()) {
+    timesFenced_ = kMostFencedDoublings;
+  }
   awayUntil_ = now_ + times_.fencedPause *
                         (1U << std::min(timesFenced_, kMostFencedDoublings));
   ++timesFenced_;
@@ -243,6 +262,22 @@
   return effects;
 }
 
+void LeaderElection::PlanRetake()
+{
+  if (retakeAt_) {
+    return;
+  }
+  constexpr std::uint32_t kMostPauses = 3;
+  const bool again = now_ - fencedAt_ < times_.fencedPause;
+  fencedInRow_ = again ? std::min(fencedInRow_ + 1, kMostStepDoublings) : 0;
+  fencedAt_ = now_;
+  retakeAt_ = now_;
+  if (fencedInRow_ > 0) {
+    retakeAt_ = now_ + times_.retakePause *
+                         (1U << std::min(fencedInRow_ - 1, kMostPauses));
+  }
+}
+
 void LeaderElection::Retake(ElectionEffects& aEffects)
 {
   if (!retakeAt_ || now_ < *retakeAt_ || token_ == 0) {
@@ -377,9 +412,16 @@
     return;
   }
   if (token_ != 0) {
-    // Includes the tokens of leaders that have yielded since.
+    if (!ledAsFragment_ && IsFragment()) {
+      StepDown("lost most other members", aEffects);
+      return;
+    }
+    // Includes the tokens of leaders that have yielded since. Each new token
+    // means a look at each endpoint, so that leaders must not outbid each
+    // other with each beat.
     if (std::max(highest, highestToken_) > token_) {
-      StepUp(1, aEffects);
+      PlanRetake();
+      Retake(aEffects);
     }
     SetLeader(self_.name, aEffects);
     return;
@@ -387,8 +429,9 @@
   SetLeader("", aEffects);
   if (canLead_ && !leaving_ && now_ >= awayUntil_ &&
       now_ - startedAt_ >= times_.discovery &&
-      now_ - leaderlessSince_ >= times_.settle &&
+      now_ - leaderlessSince_ >= Settle() &&
       now_ - resumedAt_ >= times_.resume && IsPreferred()) {
+    ledAsFragment_ = IsFragment();
     StepUp(1, aEffects);
   }
 }
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -105,6 +105,22 @@
   Send(std::move(next.call), std::move(next.done));
 }
 
+void HttpClient::CloseIdle()
+{
+  std::vector<ConnectionPtr> idle;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [address, pool] : pools_) {
+      pool.open -= pool.idle.size();
+      idle.insert(idle.end(), pool.idle.begin(), pool.idle.end());
+      pool.idle.clear();
+    }
+  }
+  for (const auto& connection : idle) {
+    connection->Close();
+  }
+}
+
 std::size_t HttpClient::Opened() const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -44,6 +44,10 @@
   //! aDone is called once, on a thread of the context.
   void Send(HttpCall aCall, HttpDone aDone);
 
+  //! Closes the connections that carry no request, so that other clients find
+  //! room at the servers.
+  void CloseIdle();
+
   //! Connections opened since the start.
   std::size_t Opened() const;
 
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,11 +40,11 @@
     for (std::int64_t gone = 0; gone < aMilliseconds; gone += 25) {
       now_ += Ms(25);
       for (const auto& [member, beat] : Note(election_.Tick()).beats) {
-        last_ = beat.sequence;
+        last_[member.address] = beat.sequence;
       }
       for (Beat& beat : heard_) {
         ++beat.sequence;
-        beat.echo = echoes ? last_ : 0;
+        beat.echo = echoes ? last_[beat.from.address] : 0;
         Note(election_.Heard(beat));
       }
     }
@@ -66,6 +67,22 @@
     heard_.push_back(beat);
   }
 
+  //! Smaller members than this one.
+  void HearMany(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      Hear("m" + std::to_string(i), 0.5, 0);
+    }
+  }
+
+  //! Another daemon's beats tell of ever higher tokens.
+  void RaiseTokens()
+  {
+    for (Beat& beat : heard_) {
+      beat.highestToken = token + (std::uint64_t{ 1 } << 16U);
+    }
+  }
+
   void Silence() { heard_.clear(); }
 
   const ElectionEffects& Note(ElectionEffects aEffects)
@@ -95,7 +112,7 @@
   TimePoint now_{ std::chrono::hours(1) };
   LeaderElection election_;
   std::vector<Beat> heard_;
-  std::uint64_t last_ = 0;
+  std::map<std::string, std::uint64_t> last_; //!< Beat sent, by member.
   ElectionEffects kept_;
 };
 
@@ -186,6 +203,34 @@
     },
     "self",
     true },
+  { "one of many that hears nobody and takes the endpoints of the rest",
+    [](Bench& aBench) {
+      aBench.HearMany(15);
+      aBench.Wait(1500);
+      aBench.Silence();
+      aBench.Wait(1000);
+    },
+    "",
+    false },
+  { "a leader that lost all of many others and holds on to the endpoints",
+    [](Bench& aBench) {
+      aBench.HearMany(15);
+      aBench.Wait(1500);
+      CHECK(aBench.Election().IsLeading());
+      aBench.Silence();
+      aBench.Wait(500);
+    },
+    "",
+    false },
+  { "nobody leading after all others lost power",
+    [](Bench& aBench) {
+      aBench.HearMany(15);
+      aBench.Wait(1500);
+      aBench.Silence();
+      aBench.Wait(4000);
+    },
+    "self",
+    true },
   { "leading while it stops",
     [](Bench& aBench) {
       aBench.Wait(1000);
@@ -245,6 +290,22 @@
   CHECK(bench.token > kHighToken);
 }
 
+// Each term costs a look at each endpoint: leaders that hear of each other only
+// through others must not outbid each other with each beat.
+TEST(LeaderElection, OutbidsAnUnseenLeaderInFewTerms)
+{
+  Bench bench;
+  bench.Hear("b", 0.5, 0);
+  bench.Wait(1000);
+  const int before = bench.terms;
+  for (int step = 0; step < 40; ++step) {
+    bench.RaiseTokens();
+    bench.Wait(25);
+  }
+  CHECK(bench.terms > before);
+  CHECK(bench.terms - before <= 8);
+}
+
 TEST(LeaderElection, ReportsLostMembersOnce)
 {
   Bench bench;
