Refuse new work by how late the leader's timers fire

Change: LoadShedding (proportional and integral) keeps timers 12 ms late at most on average; the share goes out with the beats, and fronts refuse it at once, without a frame to the leader. Beats tell of other members every 0.7 s instead of in each beat in groups over 12. Open: a new term every 10 ms after a zone cut ends (39 s).

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -1,8 +1,10 @@
 #ifndef HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
 #define HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
 
+#include "hemlockhaven/coordinator/LoadShedding.h"
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/fleet/Dice.h"
 #include "hemlockhaven/front/FrontDesk.h"
 #include "hemlockhaven/leadership/LeaderElection.h"
 #include "hemlockhaven/scheduler/Scheduler.h"
@@ -85,6 +87,11 @@
   //! To be called every few tens of milliseconds.
   void Tick();
 
+  //! A timer of this daemon that was set for aInterval fired late.
+  void RecordDelay(Duration aLate, Duration aInterval);
+  //! Share of new work that is refused here, because the leader is too busy.
+  double ShedShare() const { return election_.LeaderShedShare(); }
+
   //! Whether work that comes in now can be handed to a leader.
   bool CanServe() const { return !election_.Leader().empty(); }
   std::string Leader() const { return election_.Leader(); }
@@ -95,6 +102,8 @@
 private:
   std::shared_ptr<Scheduler> SchedulerOf(const std::string& aService);
   std::vector<std::shared_ptr<Scheduler>> Schedulers() const;
+  //! Whether new work is refused because the leader is too busy.
+  bool IsShed();
   void Apply(Scheduler& aScheduler, const SchedulerEffects& aEffects);
   void Apply(FrontEffects aEffects);
   void Apply(const ElectionEffects& aEffects);
@@ -108,6 +117,10 @@
   Clock clock_;
   LeaderElection election_;
   FrontDesk desk_;
+  std::mutex sheddingMutex_;
+  LoadShedding shedding_; //!< Under sheddingMutex_, as are the next two.
+  Dice dice_;
+  double notedShare_ = 0; //!< The last one that was logged.
   mutable std::mutex schedulersMutex_;
   std::map<std::string, std::shared_ptr<Scheduler>>
     schedulers_;            //!< By service.
--- a/include/hemlockhaven/front/FrontDesk.h
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -81,6 +81,11 @@
   //! for CallerLeft.
   FrontEffects Accept(Work aWork, AnswerHook aAnswer, std::uint64_t& aTicket);
 
+  //! Answers a caller that its work was not taken.
+  static FrontEffects Refuse(const std::string& aWorkId,
+                             AnswerHook aAnswer,
+                             std::string_view aReason);
+
   //! The caller left: its work is stopped. Nothing is answered.
   FrontEffects CallerLeft(std::string_view aWorkId, std::uint64_t aTicket);
 
--- a/include/hemlockhaven/leadership/Beat.h
+++ b/include/hemlockhaven/leadership/Beat.h
@@ -28,9 +28,11 @@
   std::uint64_t leaderToken = 0;  //!< Fencing token of its term; 0: no leader.
   std::uint64_t highestToken = 0; //!< Highest token that it has heard of.
   Duration interval{ 0 };         //!< Until the next beat to the same receiver.
+  double shedShare = 0;           //!< Of new work that a leader refuses.
   bool canLead = false;           //!< Knows endpoints and does not stop.
   bool leaving = false;
-  std::vector<Member> known; //!< So that members find each other.
+  //! So that members find each other; empty in most beats.
+  std::vector<Member> known;
 };
 
 }
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -106,6 +106,11 @@
   //! To be called every few tens of milliseconds.
   ElectionEffects Tick();
 
+  //! Share of new work that this daemon would refuse as leader.
+  void SetShedShare(double aShare);
+  //! Share of new work that the leader last said to refuse.
+  double LeaderShedShare() const;
+
   std::string Leader() const;
   bool IsLeading() const;
   std::size_t AliveMembers() const;
@@ -125,6 +130,7 @@
     std::map<std::uint64_t, TimePoint> sent;
     TimePoint echoedAt{}; //!< When the last echoed beat was sent.
     TimePoint beatAt{};
+    TimePoint toldAt{};     //!< A beat to it told of other members.
     Duration interval{ 0 }; //!< Of beats to it.
   };
 
@@ -160,6 +166,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t token_ = 0;
   std::uint64_t highestToken_ = 0;
+  double shedShare_ = 0;
   std::string leader_;
   TimePoint leaderlessSince_;
   TimePoint tickedAt_;
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -1,5 +1,7 @@
 #include "hemlockhaven/coordinator/Coordinator.h"
 
+#include <cmath>
+#include <functional>
 #include <utility>
 
 namespace hemlockhaven {
@@ -16,6 +18,7 @@
   , clock_(aClock)
   , election_(std::move(aSelf), aTimes, aClock, std::move(aWallClock))
   , desk_(aClock)
+  , dice_(std::hash<std::string>()(name_))
 {
 }
 
@@ -169,10 +172,47 @@
 std::uint64_t Coordinator::Accept(Work aWork, AnswerHook aAnswer)
 {
   std::uint64_t ticket = 0;
-  Apply(desk_.Accept(std::move(aWork), std::move(aAnswer), ticket));
+  if (!desk_.Knows(aWork.id) && IsShed()) {
+    Apply(desk_.Refuse(aWork.id, std::move(aAnswer), "the leader is too busy"));
+  } else {
+    Apply(desk_.Accept(std::move(aWork), std::move(aAnswer), ticket));
+  }
   return ticket;
 }
 
+bool Coordinator::IsShed()
+{
+  const double share = election_.LeaderShedShare();
+  if (share <= 0) {
+    return false;
+  }
+  const std::lock_guard<std::mutex> lock(sheddingMutex_);
+  return dice_.NextShare() < share;
+}
+
+void Coordinator::RecordDelay(Duration aLate, Duration aInterval)
+{
+  double share = 0;
+  bool changed = false;
+  {
+    const std::lock_guard<std::mutex> lock(sheddingMutex_);
+    shedding_.Record(aLate, aInterval);
+    // Only a leader's processor is the bottleneck of all.
+    share = IsLeading() ? shedding_.Share() : 0;
+    constexpr double kNotedStep = 0.1;
+    changed = std::abs(share - notedShare_) >= kNotedStep ||
+              (share == 0) != (notedShare_ == 0);
+    if (changed) {
+      notedShare_ = share;
+    }
+  }
+  election_.SetShedShare(share);
+  if (changed) {
+    Note(
+      "shed", share > 0 ? "refusing a share" : "ended", std::to_string(share));
+  }
+}
+
 void Coordinator::CallerLeft(std::string_view aWorkId, std::uint64_t aTicket)
 {
   Apply(desk_.CallerLeft(aWorkId, aTicket));
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -111,6 +111,20 @@
   aShard.entries.erase(found);
 }
 
+FrontEffects FrontDesk::Refuse(const std::string& aWorkId,
+                               AnswerHook aAnswer,
+                               std::string_view aReason)
+{
+  FrontEffects effects;
+  effects.decisions.push_back(
+    MakeDecision("answer", aWorkId, "refused", aReason));
+  effects.answers.emplace_back(std::move(aAnswer),
+                               CallerAnswer{ CallerOutcome::Overloaded,
+                                             std::string(aReason),
+                                             kUnavailableRetry });
+  return effects;
+}
+
 FrontEffects FrontDesk::Accept(Work aWork,
                                AnswerHook aAnswer,
                                std::uint64_t& aTicket)
@@ -120,13 +134,7 @@
   const std::string leader = PresentLeader();
   const TimePoint now = clock_();
   if (Waiting() >= kMostWaiting) {
-    effects.decisions.push_back(
-      MakeDecision("answer", aWork.id, "refused", "too many waiting callers"));
-    effects.answers.emplace_back(std::move(aAnswer),
-                                 CallerAnswer{ CallerOutcome::Overloaded,
-                                               "too many waiting callers",
-                                               kUnavailableRetry });
-    return effects;
+    return Refuse(aWork.id, std::move(aAnswer), "too many waiting callers");
   }
   Shard& shard = ShardOf(aWork.id);
   const std::lock_guard<std::mutex> lock(shard.mutex);
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -328,11 +328,14 @@
   beat.leaderToken = token_;
   beat.highestToken = highestToken_;
   beat.interval = aKnown.interval;
+  beat.shedShare = shedShare_;
   beat.canLead = canLead_ && now_ >= awayUntil_;
   beat.leaving = leaving_;
-  for (const auto& [address, known] : members_) {
-    if (known.alive) {
-      beat.known.push_back(known.member);
+  if (aKnown.toldAt == now_) {
+    for (const auto& [address, known] : members_) {
+      if (known.alive) {
+        beat.known.push_back(known.member);
+      }
     }
   }
   return beat;
@@ -462,6 +465,11 @@
       continue;
     }
     known.beatAt = now_;
+    // In a large group the list costs more than the rest of a beat.
+    if (members_.size() < times_.smallGroup ||
+        now_ - known.toldAt >= times_.slowBeat) {
+      known.toldAt = now_;
+    }
     known.sent[++sequence_] = now_;
     if (known.sent.size() > kMostUnechoed) {
       known.sent.erase(known.sent.begin());
@@ -471,6 +479,26 @@
   return effects;
 }
 
+void LeaderElection::SetShedShare(double aShare)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  shedShare_ = aShare;
+}
+
+double LeaderElection::LeaderShedShare() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (token_ != 0) {
+    return shedShare_;
+  }
+  for (const auto& [address, known] : members_) {
+    if (known.heard && known.member.name == leader_) {
+      return known.last.shedShare;
+    }
+  }
+  return 0;
+}
+
 std::string LeaderElection::Leader() const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint32_t kVersion = 1;
+constexpr std::uint32_t kVersion = 2;
 
 using MemberFields =
   std::tuple<std::string, std::string, std::string, double, std::uint64_t>;
@@ -22,6 +22,7 @@
                               std::uint64_t,
                               std::uint64_t,
                               std::int64_t,
+                              double,
                               bool,
                               bool,
                               std::vector<MemberFields>>;
@@ -79,7 +80,8 @@
   }
   return { FieldsOf(aBeat.from), aBeat.sequence,     aBeat.echo,
            aBeat.leaderToken,    aBeat.highestToken, aBeat.interval.count(),
-           aBeat.canLead,        aBeat.leaving,      std::move(known) };
+           aBeat.shedShare,      aBeat.canLead,      aBeat.leaving,
+           std::move(known) };
 }
 
 Beat FromFields(const BeatFields& aFields)
@@ -94,6 +96,7 @@
            beat.leaderToken,
            beat.highestToken,
            interval,
+           beat.shedShare,
            beat.canLead,
            beat.leaving,
            known) = aFields;
