Begin at most one term for many pieces of another leader's work

Cause: work that another leader had begins a new term, so that nothing of it runs unseen. Found by the reason that each term now logs. Change: one term in 50 ms, or 0.5 ms for each endpoint where that is more; work that comes in between is held until that term has looked everywhere. Before, work within the 10 ms was not held at all. Test: scheduler.NewTerm, whose row of 40 pieces fails before.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -64,6 +64,7 @@
   std::vector<std::pair<Member, Beat>> beats;
   //! This daemon became leader with this fencing token.
   std::optional<std::uint64_t> lead;
+  std::string leadReason; //!< With lead.
   //! This daemon must stop leading.
   std::optional<std::string> yield;
   //! The leader that this daemon's work goes to changed; empty: none.
@@ -145,7 +146,9 @@
   void Lose(Known& aKnown, ElectionEffects& aEffects);
   void Elect(ElectionEffects& aEffects);
   //! Leads with a token that many rounds above all that are known.
-  void StepUp(std::uint64_t aRounds, ElectionEffects& aEffects);
+  void StepUp(std::uint64_t aRounds,
+              std::string_view aReason,
+              ElectionEffects& aEffects);
   //! Plans to raise the token: at once, or after a pause if that was lately.
   void PlanRetake();
   //! Takes endpoints back from another leader, if it is time.
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -29,9 +29,11 @@
   //! After taking over, runs at endpoints that do not answer are over after
   //! this: the old leader gives up lost fronts, and leases lapse.
   Duration takeoverDoubt{ 1300000 };
-  //! Work of another leader begins a new term unless the term is as young as
-  //! this: such work comes in many pieces at once.
-  Duration freshTerm{ 10000 };
+  //! Work of another leader begins a new term, at most one in this time: such
+  //! work comes in many pieces, and a term costs a look at each endpoint.
+  Duration shortestTerm{ 50000 };
+  //! ... and longer where there are many: several times what a look costs.
+  Duration termPerEndpoint{ 500 };
   //! Endpoints are expected to answer a new leader's first look within this.
   Duration takeover{ 300000 };
   //! An endpoint that left the list may still run work behind a cut for so
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -146,6 +146,7 @@
     }
   }
   if (aEffects.lead) {
+    Note("term", "begun", aEffects.leadReason);
     {
       const std::lock_guard<std::mutex> lock(schedulersMutex_);
       token_ = *aEffects.lead;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -257,7 +257,7 @@
   ElectionEffects effects;
   now_ = clock_();
   if (token_ != 0 && !retakeAt_) {
-    StepUp(1, effects);
+    StepUp(1, "work of another leader came", effects);
   }
   return effects;
 }
@@ -285,7 +285,9 @@
   }
   // How far ahead the other token is, is not known: growing steps find it in a
   // few attempts.
-  StepUp(std::uint64_t{ 1 } << (2 * fencedInRow_), aEffects);
+  StepUp(std::uint64_t{ 1 } << (2 * fencedInRow_),
+         "another leader has a higher token",
+         aEffects);
 }
 
 ElectionEffects LeaderElection::SetCanLead(bool aCanLead,
@@ -363,7 +365,9 @@
   }
 }
 
-void LeaderElection::StepUp(std::uint64_t aRounds, ElectionEffects& aEffects)
+void LeaderElection::StepUp(std::uint64_t aRounds,
+                            std::string_view aReason,
+                            ElectionEffects& aEffects)
 {
   // Seconds since 1970 keep tokens rising when all daemons restart at once.
   constexpr std::int64_t kMsPerSecond = 1000;
@@ -375,6 +379,7 @@
   highestToken_ = token_;
   retakeAt_.reset();
   aEffects.lead = token_;
+  aEffects.leadReason = aReason;
   SetLeader(self_.name, aEffects);
 }
 
@@ -435,7 +440,7 @@
       now_ - leaderlessSince_ >= Settle() &&
       now_ - resumedAt_ >= times_.resume && IsPreferred()) {
     ledAsFragment_ = IsFragment();
-    StepUp(1, aEffects);
+    StepUp(1, "no other leader is known", aEffects);
   }
 }
 
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -260,10 +260,9 @@
   aEffects.decisions.back().inputs = DescribeInputs(entry);
   works_.emplace(entry.Spec().id, std::move(owned));
   if (entry.Spec().submissions > 0) {
-    aEffects.needsNewTerm = now_ - ledSince_ > policy_.freshTerm;
-    if (aEffects.needsNewTerm || MayHideRuns()) {
-      entry.heldUntil = now_ + policy_.takeoverDoubt;
-    }
+    entry.heldUntil = now_ + policy_.takeoverDoubt;
+    wantsNewTerm_ = true;
+    RequestNewTerm(aEffects);
   }
   AdoptOrphans(entry, aEffects);
   if (entry.IsDone()) {
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -532,6 +532,7 @@
   if (!IsLeading()) {
     return;
   }
+  RequestNewTerm(aEffects);
   std::vector<std::string> ids;
   for (auto& [id, endpoint] : endpoints_) {
     TickEndpoint(endpoint, aEffects);
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -66,6 +66,7 @@
 {
   token_ = aFencingToken;
   ledSince_ = now_;
+  wantsNewTerm_ = false;
   Note(aEffects, "lead", "", nullptr, "taking over", std::to_string(token_));
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.taken = false;
@@ -330,8 +331,19 @@
   return sum / static_cast<double>(endpoints_.size());
 }
 
+void SchedulerState::RequestNewTerm(SchedulerEffects& aEffects) const
+{
+  const Duration shortest = std::max<Duration>(
+    policy_.shortestTerm,
+    static_cast<std::int64_t>(endpoints_.size()) * policy_.termPerEndpoint);
+  aEffects.needsNewTerm = wantsNewTerm_ && now_ - ledSince_ > shortest;
+}
+
 bool SchedulerState::MayHideRuns() const
 {
+  if (wantsNewTerm_) {
+    return true;
+  }
   // An endpoint that is cut off leaves the list, and runs on under a leader on
   // its side of the cut.
   return std::any_of(
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -157,6 +157,8 @@
   double FleetFailureRate() const;
   //! Whether an endpoint may run work of another leader unseen.
   bool MayHideRuns() const;
+  //! Asks for a new term if one is wanted and it is time.
+  void RequestNewTerm(SchedulerEffects& aEffects) const;
   //! Forgets endpoints that left the list and cannot run anything.
   void ForgetEndpoints();
 
@@ -165,6 +167,8 @@
   TimePoint now_{}; //!< Time of the present call.
   std::uint64_t token_ = 0;
   TimePoint ledSince_{};
+  //! Work of another leader came in this term.
+  bool wantsNewTerm_ = false;
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   Works works_;
   Queue queue_;
--- /dev/null
+++ b/tests/scheduler/NewTermTest.cpp
@@ -0,0 +1,157 @@
+// Work that another leader had a moment ago starts only after a look at each
+// endpoint in a term that began after it came.
+#include "hemlockhaven/scheduler/Scheduler.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+// Last, because its macros replace operator new.
+#include <CppUTest/TestHarness.h>
+
+using namespace hemlockhaven;
+
+namespace {
+
+Duration Ms(std::int64_t aMilliseconds)
+{
+  return std::chrono::milliseconds(aMilliseconds);
+}
+
+//! A scheduler that leads, with endpoints that answer each look when its wait
+//! is over.
+class Bench
+{
+public:
+  explicit Bench(int aEndpoints)
+    : scheduler_(SchedulerPolicy(), [this] { return now_; })
+  {
+    std::vector<ListedEndpoint> listed(static_cast<std::size_t>(aEndpoints));
+    for (std::size_t i = 0; i < listed.size(); ++i) {
+      listed[i].id = listed[i].address = "e" + std::to_string(i);
+      listed[i].capacity = { 16000, 65536, 0 };
+    }
+    Follow(scheduler_.SetEndpoints(listed));
+    BeginTerm();
+    Wait(1000);
+    terms = 0;
+  }
+
+  void Submit(std::uint32_t aSubmissions)
+  {
+    Work work;
+    work.id = "w" + std::to_string(++submitted_);
+    work.kind = "k";
+    work.submissions = aSubmissions;
+    work.attempts = 1;
+    work.stretch = 2;
+    work.targetLatency = Ms(100);
+    work.patience = Ms(9000);
+    WorkStep step;
+    step.count = 1;
+    step.each = { 1000, 64, 0 };
+    step.estimate = Ms(1000);
+    work.steps.push_back(step);
+    Follow(scheduler_.Submit("front", std::move(work)));
+  }
+
+  void Wait(std::int64_t aMilliseconds)
+  {
+    for (std::int64_t gone = 0; gone < aMilliseconds; gone += 5) {
+      now_ += Ms(5);
+      AnswerLooks();
+      Follow(scheduler_.Tick());
+    }
+  }
+
+  int terms = 0;
+  std::vector<std::uint64_t> startTokens; //!< Of each start sent.
+
+private:
+  void BeginTerm()
+  {
+    ++terms;
+    Follow(scheduler_.Lead(++token_));
+  }
+
+  void Follow(const SchedulerEffects& aEffects)
+  {
+    for (const StartOrder& start : aEffects.starts) {
+      startTokens.push_back(start.target.fencingToken);
+      running_[start.target.endpoint].push_back(start.run);
+      Follow(
+        scheduler_.StartAnswered(start, { OrderOutcome::Accepted, ClockMs() }));
+    }
+    for (const LookOrder& look : aEffects.looks) {
+      looks_.emplace(now_ + look.wait, look);
+    }
+    if (aEffects.needsNewTerm) {
+      BeginTerm();
+    }
+  }
+
+  std::int64_t ClockMs() const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now_.time_since_epoch())
+      .count();
+  }
+
+  void AnswerLooks()
+  {
+    while (!looks_.empty() && looks_.begin()->first <= now_) {
+      const LookOrder look = looks_.extract(looks_.begin()).mapped();
+      LookReport report;
+      report.bornMs = 1;
+      report.clockMs = ClockMs();
+      report.running = running_[look.target.endpoint];
+      Follow(scheduler_.Looked(look, report));
+    }
+  }
+
+  TimePoint now_{ std::chrono::hours(1) };
+  std::multimap<TimePoint, LookOrder> looks_; //!< By when they are answered.
+  Scheduler scheduler_;
+  std::map<std::string, std::vector<RunKey>> running_; //!< By endpoint.
+  std::uint64_t token_ = 0;
+  int submitted_ = 0;
+};
+
+struct NewTermRow
+{
+  const char* guardsAgainst;
+  int endpoints;
+  std::uint32_t submissions;
+  int works; //!< One every 5 ms.
+  int leastTerms;
+  int mostTerms;
+};
+
+const NewTermRow kNewTermRows[] = {
+  { "a term for new work", 4, 0, 40, 0, 0 },
+  { "starting work that another leader may have started", 4, 1, 1, 1, 1 },
+  { "a term for each piece of work", 4, 1, 40, 1, 6 },
+  { "terms that keep a large fleet from all else", 300, 1, 40, 1, 3 },
+};
+
+}
+
+TEST_GROUP(NewTerm){};
+
+TEST(NewTerm, ComesBeforeWorkOfAnotherLeader)
+{
+  for (const NewTermRow& row : kNewTermRows) {
+    Bench bench(row.endpoints);
+    for (int i = 0; i < row.works; ++i) {
+      bench.Submit(row.submissions);
+      bench.Wait(5);
+    }
+    bench.Wait(400);
+    CHECK_TEXT(bench.terms >= row.leastTerms, row.guardsAgainst);
+    CHECK_TEXT(bench.terms <= row.mostTerms, row.guardsAgainst);
+    LONGS_EQUAL_TEXT(row.works, bench.startTokens.size(), row.guardsAgainst);
+    for (const std::uint64_t token : bench.startTokens) {
+      CHECK_TEXT(row.submissions == 0 || token > 1, row.guardsAgainst);
+    }
+  }
+}
