Let a fenced minority stay away as one

Change: beats tell how long their sender stays away after it was fenced, and members without a majority stay away with it. Test: a row of LeaderElection that fails before.

--- a/include/hemlockhaven/leadership/Beat.h
+++ b/include/hemlockhaven/leadership/Beat.h
@@ -28,8 +28,11 @@
   std::uint64_t leaderToken = 0;  //!< Fencing token of its term; 0: no leader.
   std::uint64_t highestToken = 0; //!< Highest token that it has heard of.
   Duration interval{ 0 };         //!< Until the next beat to the same receiver.
-  double shedShare = 0;           //!< Of new work that a leader refuses.
-  bool canLead = false;           //!< Knows endpoints and does not stop.
+  //! Endpoints follow a leader that the sender does not see: a minority that
+  //! hears it does not lead for so long.
+  Duration stayAway{ 0 };
+  double shedShare = 0; //!< Of new work that a leader refuses.
+  bool canLead = false; //!< Knows endpoints and does not stop.
   bool leaving = false;
   //! So that members find each other; empty in most beats.
   std::vector<Member> known;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -196,6 +196,11 @@
     known.alive = true;
     effects.joined.push_back(known.member.name);
   }
+  if (aBeat.stayAway > Duration(0) && !HasMajority()) {
+    // Else the members of a zone that was cut off would take the endpoints
+    // back one after the other, until their links are up again.
+    awayUntil_ = std::max(awayUntil_, now_ + aBeat.stayAway);
+  }
   Elect(effects);
   return effects;
 }
@@ -330,6 +335,7 @@
   beat.leaderToken = token_;
   beat.highestToken = highestToken_;
   beat.interval = aKnown.interval;
+  beat.stayAway = std::max(Duration(0), awayUntil_ - now_);
   beat.shedShare = shedShare_;
   beat.canLead = canLead_ && now_ >= awayUntil_;
   beat.leaving = leaving_;
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -22,6 +22,7 @@
                               std::uint64_t,
                               std::uint64_t,
                               std::int64_t,
+                              std::int64_t,
                               double,
                               bool,
                               bool,
@@ -78,16 +79,17 @@
   for (const Member& member : aBeat.known) {
     known.push_back(FieldsOf(member));
   }
-  return { FieldsOf(aBeat.from), aBeat.sequence,     aBeat.echo,
-           aBeat.leaderToken,    aBeat.highestToken, aBeat.interval.count(),
-           aBeat.shedShare,      aBeat.canLead,      aBeat.leaving,
-           std::move(known) };
+  return { FieldsOf(aBeat.from),   aBeat.sequence,     aBeat.echo,
+           aBeat.leaderToken,      aBeat.highestToken, aBeat.interval.count(),
+           aBeat.stayAway.count(), aBeat.shedShare,    aBeat.canLead,
+           aBeat.leaving,          std::move(known) };
 }
 
 Beat FromFields(const BeatFields& aFields)
 {
   Beat beat;
   std::int64_t interval = 0;
+  std::int64_t stayAway = 0;
   MemberFields from;
   std::vector<MemberFields> known;
   std::tie(from,
@@ -96,11 +98,13 @@
            beat.leaderToken,
            beat.highestToken,
            interval,
+           stayAway,
            beat.shedShare,
            beat.canLead,
            beat.leaving,
            known) = aFields;
   beat.interval = Duration(interval);
+  beat.stayAway = Duration(stayAway);
   beat.from = FromFields(from);
   for (const MemberFields& member : known) {
     beat.known.push_back(FromFields(member));
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -75,6 +75,15 @@
     }
   }
 
+  //! The members heard have lost their endpoints to a leader unseen.
+  void HearFenced(std::int64_t aStayAwayMs)
+  {
+    for (Beat& beat : heard_) {
+      beat.canLead = false;
+      beat.stayAway = Ms(aStayAwayMs);
+    }
+  }
+
   //! Another daemon's beats tell of ever higher tokens.
   void RaiseTokens()
   {
@@ -84,6 +93,7 @@
   }
 
   void Silence() { heard_.clear(); }
+  void HearOnlyFirst() { heard_.resize(1); }
 
   const ElectionEffects& Note(ElectionEffects aEffects)
   {
@@ -194,6 +204,19 @@
     },
     "",
     false },
+  { "members of a fenced minority that lead one after the other",
+    [](Bench& aBench) {
+      aBench.Hear("b", 2, 0);
+      aBench.Hear("c", 0.5, 0);
+      aBench.Hear("d", 0.5, 0);
+      aBench.Hear("e", 0.5, 0);
+      aBench.Wait(1000);
+      aBench.HearOnlyFirst();
+      aBench.HearFenced(2000);
+      aBench.Wait(1500);
+    },
+    "",
+    false },
   { "a majority that gives up its endpoints",
     [](Bench& aBench) {
       aBench.Hear("b", 0.5, 0);
