--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -212,6 +212,7 @@
       aBench.Hear("e", 0.5, 0);
       aBench.Wait(1000);
       aBench.HearOnlyFirst();
+      aBench.Wait(500);
       aBench.HearFenced(2000);
       aBench.Wait(1500);
     },
