Soak the real programs under faults from outside

The endpoint of tests/support moved to standins/platform: it goes by hooks for its clock and timers, tells how and when runs end, and is a process of its own too. hemlockhaven-soak starts daemons and endpoints as processes with proxies on loopback between them and breaks them: kills, SIGTERM, pauses, SIGHUP, links and orders delayed, held one way or reset, a store that is down, slow, silent or cut off, draining endpoints, new configurations. It checks that no task runs twice at once, that answers are true, that draining endpoints get nothing, that a stopping daemon answers and ends, and that all serve again at last.

--- /dev/null
+++ b/soak/FaultPlan.cpp
@@ -0,0 +1,290 @@
+#include "soak/FaultPlan.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <csignal>
+#include <memory>
+
+namespace hemlockhaven::Soak {
+
+namespace {
+
+//! Daemons may start work at an endpoint for so long after it drains.
+constexpr Duration kDrain{ 3000000 };
+
+}
+
+FaultPlan::FaultPlan(boost::asio::io_context& aContext,
+                     Fleet& aFleet,
+                     Ledger& aLedger,
+                     std::uint64_t aSeed)
+  : context_(aContext)
+  , fleet_(aFleet)
+  , ledger_(aLedger)
+  , dice_(aSeed)
+  , startedAt_(SteadyNow())
+  , storeCleanSince_(startedAt_)
+{
+}
+
+void FaultPlan::Start(Duration aFor)
+{
+  BeginNext(SteadyNow() + aFor);
+}
+
+void FaultPlan::BeginNext(TimePoint aUntil)
+{
+  static constexpr std::array<Begin, 17> kFaults{
+    &FaultPlan::KillDaemon,         &FaultPlan::StopDaemon,
+    &FaultPlan::StopDaemon,         &FaultPlan::PauseDaemon,
+    &FaultPlan::HangUpDaemon,       &FaultPlan::KillAllDaemons,
+    &FaultPlan::DisturbLinks,       &FaultPlan::DisturbLinks,
+    &FaultPlan::ResetLinks,         &FaultPlan::KillEndpoint,
+    &FaultPlan::PauseEndpoint,      &FaultPlan::DisturbEndpoint,
+    &FaultPlan::DisturbEndpoint,    &FaultPlan::DrainEndpoint,
+    &FaultPlan::DisturbStore,       &FaultPlan::CutStore,
+    &FaultPlan::ChangeConfiguration
+  };
+  if (SteadyNow() >= aUntil) {
+    isOver_ = true;
+    return;
+  }
+  (this->*kFaults.at(Pick(kFaults.size())))();
+  After(Between(100, 800), [this, aUntil] { BeginNext(aUntil); });
+}
+
+void FaultPlan::After(Duration aDelay, std::function<void()> aEvent)
+{
+  ++running_;
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_, aDelay);
+  timer->async_wait(
+    [this, timer, event = std::move(aEvent)](const auto& aError) {
+      --running_;
+      if (!aError) {
+        event();
+      }
+    });
+}
+
+void FaultPlan::Note(const std::string& aWhat)
+{
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    SteadyNow() - startedAt_)
+                    .count();
+  history_.push_back(std::to_string(ms) + " ms: " + aWhat);
+}
+
+Duration FaultPlan::Between(std::int64_t aLeastMs, std::int64_t aMostMs)
+{
+  const auto span = static_cast<std::uint64_t>(aMostMs - aLeastMs);
+  return std::chrono::milliseconds(
+    aLeastMs + static_cast<std::int64_t>(dice_.Next() % span));
+}
+
+std::optional<std::size_t> FaultPlan::Take(std::set<std::size_t>& aTaken,
+                                           std::size_t aCount)
+{
+  const std::size_t picked = Pick(aCount);
+  return aTaken.insert(picked).second ? std::optional(picked) : std::nullopt;
+}
+
+ProxyFault FaultPlan::DrawProxyFault()
+{
+  ProxyFault fault;
+  fault.share = Pick(2) == 0 ? 1 : 0.5;
+  switch (Pick(4)) {
+    case 0:
+      fault.holdsRequests = true;
+      break;
+    case 1:
+      fault.holdsAnswers = true;
+      break;
+    case 2:
+      fault.holdsRequests = true;
+      fault.holdsAnswers = true;
+      break;
+    default:
+      fault.delay = Between(5, 120);
+      break;
+  }
+  return fault;
+}
+
+void FaultPlan::KillDaemon()
+{
+  if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
+    Note("kill daemon " + std::to_string(*daemon));
+    ledger_.Disturbed(*daemon, SteadyNow());
+    fleet_.SignalDaemon(*daemon, SIGKILL);
+    After(Between(100, 2500), [this, daemon] {
+      fleet_.StartDaemon(*daemon);
+      takenDaemons_.erase(*daemon);
+    });
+  }
+}
+
+void FaultPlan::StopDaemon()
+{
+  if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
+    Note("stop daemon " + std::to_string(*daemon));
+    ledger_.Told(*daemon, SteadyNow());
+    fleet_.SignalDaemon(*daemon, SIGTERM);
+    // The platform kills what is left after its grace.
+    constexpr Duration kGrace{ 6000000 };
+    After(kGrace, [this, daemon] {
+      if (fleet_.DaemonExit(*daemon).value_or(-1) != 0) {
+        Note("daemon " + std::to_string(*daemon) + " did not stop in time");
+      }
+      fleet_.StartDaemon(*daemon);
+      takenDaemons_.erase(*daemon);
+    });
+  }
+}
+
+void FaultPlan::PauseDaemon()
+{
+  if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
+    Note("pause daemon " + std::to_string(*daemon));
+    ledger_.Disturbed(*daemon, SteadyNow());
+    fleet_.SignalDaemon(*daemon, SIGSTOP);
+    After(Between(100, 3000), [this, daemon] {
+      ledger_.Disturbed(*daemon, SteadyNow());
+      fleet_.SignalDaemon(*daemon, SIGCONT);
+      takenDaemons_.erase(*daemon);
+    });
+  }
+}
+
+void FaultPlan::HangUpDaemon()
+{
+  if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
+    Note("reload daemon " + std::to_string(*daemon));
+    fleet_.SignalDaemon(*daemon, SIGHUP);
+    takenDaemons_.erase(*daemon);
+  }
+}
+
+void FaultPlan::KillAllDaemons()
+{
+  Note("kill all daemons that no other fault works on");
+  for (std::size_t daemon = 0; daemon < fleet_.Daemons(); ++daemon) {
+    if (takenDaemons_.insert(daemon).second) {
+      ledger_.Disturbed(daemon, SteadyNow());
+      fleet_.SignalDaemon(daemon, SIGKILL);
+      After(Between(200, 1500), [this, daemon] {
+        fleet_.StartDaemon(daemon);
+        takenDaemons_.erase(daemon);
+      });
+    }
+  }
+}
+
+void FaultPlan::DisturbLinks()
+{
+  const std::size_t daemon = Pick(fleet_.Daemons());
+  Note("disturb the links to daemon " + std::to_string(daemon));
+  fleet_.LinkProxy(daemon).Set(DrawProxyFault());
+  After(Between(200, 3000),
+        [this, daemon] { fleet_.LinkProxy(daemon).Heal(); });
+}
+
+void FaultPlan::ResetLinks()
+{
+  const std::size_t daemon = Pick(fleet_.Daemons());
+  Note("reset the links to daemon " + std::to_string(daemon));
+  fleet_.LinkProxy(daemon).Reset();
+}
+
+void FaultPlan::KillEndpoint()
+{
+  if (const auto endpoint = Take(takenEndpoints_, fleet_.Endpoints())) {
+    Note("kill endpoint " + std::to_string(*endpoint));
+    fleet_.KillEndpoint(*endpoint);
+    After(Between(200, 2500), [this, endpoint] {
+      fleet_.StartEndpoint(*endpoint);
+      takenEndpoints_.erase(*endpoint);
+    });
+  }
+}
+
+void FaultPlan::PauseEndpoint()
+{
+  if (const auto endpoint = Take(takenEndpoints_, fleet_.Endpoints())) {
+    Note("pause endpoint " + std::to_string(*endpoint));
+    fleet_.SignalEndpoint(*endpoint, SIGSTOP);
+    After(Between(100, 3000), [this, endpoint] {
+      fleet_.SignalEndpoint(*endpoint, SIGCONT);
+      takenEndpoints_.erase(*endpoint);
+    });
+  }
+}
+
+void FaultPlan::DisturbEndpoint()
+{
+  const std::size_t endpoint = Pick(fleet_.Endpoints());
+  Note("disturb endpoint " + std::to_string(endpoint));
+  if (Pick(3) == 0) {
+    fleet_.EndpointProxy(endpoint).Reset();
+    return;
+  }
+  fleet_.EndpointProxy(endpoint).Set(DrawProxyFault());
+  After(Between(200, 3000),
+        [this, endpoint] { fleet_.EndpointProxy(endpoint).Heal(); });
+}
+
+void FaultPlan::DrainEndpoint()
+{
+  if (const auto endpoint = Take(takenEndpoints_, fleet_.Endpoints())) {
+    Note("drain endpoint " + std::to_string(*endpoint));
+    const TimePoint begin = SteadyNow();
+    fleet_.List(*endpoint, true);
+    const std::string id = fleet_.EndpointId(*endpoint);
+    After(kDrain + Between(200, 1500), [this, endpoint, begin, id] {
+      // A daemon that cannot read the store cannot know.
+      if (storeFaults_ == 0 && storeCleanSince_ <= begin) {
+        ledger_.Forbid(id, begin + kDrain, SteadyNow());
+      }
+      fleet_.List(*endpoint, false);
+      takenEndpoints_.erase(*endpoint);
+    });
+  }
+}
+
+void FaultPlan::DisturbStore()
+{
+  static constexpr std::array<StoreStandIn::Mode, 3> kModes{
+    StoreStandIn::Mode::Down,
+    StoreStandIn::Mode::LosesAnswers,
+    StoreStandIn::Mode::Slow
+  };
+  Note("disturb the store");
+  ++storeFaults_;
+  fleet_.Store().SetMode(kModes.at(Pick(kModes.size())));
+  After(Between(300, 4000), [this] {
+    --storeFaults_;
+    storeCleanSince_ = SteadyNow();
+    fleet_.Store().SetMode(StoreStandIn::Mode::Up);
+  });
+}
+
+void FaultPlan::CutStore()
+{
+  const std::size_t daemon = Pick(fleet_.Daemons());
+  Note("cut daemon " + std::to_string(daemon) + " from the store");
+  ++storeFaults_;
+  fleet_.StoreProxy(daemon).Set({ true, true, Duration(0), 1 });
+  After(Between(300, 4000), [this, daemon] {
+    --storeFaults_;
+    storeCleanSince_ = SteadyNow();
+    fleet_.StoreProxy(daemon).Heal();
+  });
+}
+
+void FaultPlan::ChangeConfiguration()
+{
+  Note("change the configuration");
+  fleet_.Configure();
+}
+
+}
--- /dev/null
+++ b/soak/FaultPlan.h
@@ -0,0 +1,81 @@
+#ifndef HEMLOCKHAVEN_SOAK_FAULTPLAN_H
+#define HEMLOCKHAVEN_SOAK_FAULTPLAN_H
+
+#include "hemlockhaven/core/Span.h"
+#include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/fleet/Dice.h"
+#include "soak/Fleet.h"
+#include "soak/Ledger.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hemlockhaven::Soak {
+
+//! Begins faults at random moments, several at a time, and ends each of them.
+class FaultPlan
+{
+public:
+  FaultPlan(boost::asio::io_context& aContext,
+            Fleet& aFleet,
+            Ledger& aLedger,
+            std::uint64_t aSeed);
+
+  //! Begins a fault every 0.1 to 0.8 s for so long.
+  void Start(Duration aFor);
+  //! Whether faults may still begin or go on.
+  bool IsOver() const { return isOver_ && running_ == 0; }
+  //! What was done when, to find the cause of a failure.
+  Span<const std::string> History() const { return history_; }
+
+private:
+  using Begin = void (FaultPlan::*)();
+
+  void BeginNext(TimePoint aUntil);
+  void After(Duration aDelay, std::function<void()> aEvent);
+  void Note(const std::string& aWhat);
+  Duration Between(std::int64_t aLeastMs, std::int64_t aMostMs);
+  std::size_t Pick(std::size_t aCount) { return dice_.Next() % aCount; }
+  //! A daemon or endpoint that no other signal works on; nothing if unlucky.
+  std::optional<std::size_t> Take(std::set<std::size_t>& aTaken,
+                                  std::size_t aCount);
+  ProxyFault DrawProxyFault();
+
+  void KillDaemon();
+  void StopDaemon();
+  void PauseDaemon();
+  void HangUpDaemon();
+  void KillAllDaemons();
+  void DisturbLinks();
+  void ResetLinks();
+  void KillEndpoint();
+  void PauseEndpoint();
+  void DisturbEndpoint();
+  void DrainEndpoint();
+  void DisturbStore();
+  void CutStore();
+  void ChangeConfiguration();
+
+  boost::asio::io_context& context_;
+  Fleet& fleet_;
+  Ledger& ledger_;
+  Dice dice_;
+  TimePoint startedAt_;
+  std::set<std::size_t> takenDaemons_;
+  std::set<std::size_t> takenEndpoints_;
+  int storeFaults_ = 0;
+  TimePoint storeCleanSince_;
+  std::size_t running_ = 0; //!< Events that are still to come.
+  bool isOver_ = false;
+  std::vector<std::string> history_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,137 @@
+// Runs the real daemons with endpoints as processes, breaks them from outside
+// and checks what callers and endpoints see.
+
+#include "soak/Callers.h"
+#include "soak/FaultPlan.h"
+#include "soak/Fleet.h"
+#include "soak/Ledger.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using namespace hemlockhaven;
+
+//! Bound of each wait for what must happen at last. A hundred times the usual,
+//! so that a busy machine does not decide.
+constexpr Duration kPatience{ 60000000 };
+
+struct Options
+{
+  Soak::FleetOptions fleet;
+  std::uint64_t firstSeed = 1;
+  std::uint64_t seeds = 1;
+  int seconds = 10;
+  std::size_t callers = 30;
+};
+
+//! Serves events until the condition holds; false after the patience.
+bool ServeUntil(boost::asio::io_context& aContext,
+                const std::function<bool()>& aIsDone)
+{
+  const TimePoint end = SteadyNow() + kPatience;
+  while (!aIsDone() && SteadyNow() < end) {
+    aContext.run_for(std::chrono::milliseconds(20));
+    aContext.restart();
+  }
+  return aIsDone();
+}
+
+//! Plays one seed; returns what was broken.
+std::vector<std::string> Play(const Options& aOptions, std::uint64_t aSeed)
+{
+  boost::asio::io_context context(1);
+  Soak::Ledger ledger;
+  Soak::FleetOptions fleetOptions = aOptions.fleet;
+  fleetOptions.seed = aSeed;
+  fleetOptions.folder += "/seed-" + std::to_string(aSeed);
+  std::filesystem::create_directories(fleetOptions.folder);
+  Soak::Fleet fleet(context, fleetOptions, ledger);
+  Soak::Callers callers(context, fleet, ledger, aSeed + 1);
+  Soak::FaultPlan plan(context, fleet, ledger, aSeed + 2);
+  std::vector<std::string> faults;
+
+  const auto allServe = [&] { return callers.Served() == fleet.Daemons(); };
+  callers.Start(aOptions.callers);
+  if (!ServeUntil(context, allServe)) {
+    faults.emplace_back("not all daemons served a job at the begin");
+  }
+  plan.Start(std::chrono::seconds(aOptions.seconds));
+  ServeUntil(context, [&] { return plan.IsOver(); });
+  callers.BeginRound();
+  if (!ServeUntil(context, allServe)) {
+    faults.emplace_back("not all daemons served a job after the last fault");
+  }
+  callers.Stop();
+  ServeUntil(context, [&] { return callers.Waiting() == 0; });
+  for (std::size_t daemon = 0; daemon < fleet.Daemons(); ++daemon) {
+    fleet.SignalDaemon(daemon, SIGTERM);
+  }
+  for (std::size_t daemon = 0; daemon < fleet.Daemons(); ++daemon) {
+    const auto hasExited = [&] { return fleet.DaemonExit(daemon).has_value(); };
+    if (!ServeUntil(context, hasExited) || fleet.DaemonExit(daemon) != 0) {
+      faults.push_back("daemon " + std::to_string(daemon) +
+                       " did not stop without an error");
+    }
+  }
+  fleet.CollectEvents();
+  const std::vector<std::string> broken = ledger.Faults();
+  faults.insert(faults.end(), broken.begin(), broken.end());
+  if (const std::size_t bad = fleet.BadLogLines()) {
+    faults.push_back(std::to_string(bad) + " log lines are not JSON");
+  }
+  std::ofstream history(fleetOptions.folder + "/faults.txt");
+  for (const std::string& line : plan.History()) {
+    history << line << '\n';
+  }
+  std::cout << "seed " << aSeed << ": " << ledger.Requests() << " requests, "
+            << ledger.CountStatus(200) << " answered 200, "
+            << ledger.CountStatus(429) << " 429, " << ledger.CountStatus(503)
+            << " 503, " << ledger.CountStatus(504) << " 504, "
+            << ledger.CountStatus(0) << " none; " << plan.History().size()
+            << " faults; " << faults.size() << " broken\n";
+  return faults;
+}
+
+}
+
+int main(int aCount, char** aArguments)
+{
+  Options options;
+  options.fleet.daemonProgram = HEMLOCKHAVEN_DAEMON;
+  options.fleet.endpointProgram = HEMLOCKHAVEN_ENDPOINT;
+  options.fleet.folder = "soak-results";
+  CLI::App app("Fault soak of hemlockhaven-platform on loopback");
+  app.add_option("--seed", options.firstSeed, "First seed");
+  app.add_option("--seeds", options.seeds, "How many seeds, one by one");
+  app.add_option("--seconds", options.seconds, "How long faults begin");
+  app.add_option("--daemons", options.fleet.daemons, "Daemons, up to 50")
+    ->check(CLI::Range(1, 50));
+  app
+    .add_option("--endpoints", options.fleet.endpoints, "Endpoints, up to 200")
+    ->check(CLI::Range(1, 200));
+  app.add_option("--callers", options.callers, "Callers");
+  app.add_option("--network", options.fleet.network, "N of 127.N.x.y")
+    ->check(CLI::Range(1, 254));
+  app.add_option("--out", options.fleet.folder, "Folder of logs and events");
+  CLI11_PARSE(app, aCount, aArguments);
+
+  std::signal(SIGPIPE, SIG_IGN);
+  bool isClean = true;
+  for (std::uint64_t i = 0; i < options.seeds; ++i) {
+    for (const std::string& fault : Play(options, options.firstSeed + i)) {
+      std::cout << "  " << fault << '\n';
+      isClean = false;
+    }
+  }
+  return isClean ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/support/FakeEndpoint.cpp
+++ b/standins/platform/FakeEndpoint.cpp
@@ -1,4 +1,4 @@
-#include "support/FakeEndpoint.h"
+#include "standins/platform/FakeEndpoint.h"
 
 #include <algorithm>
 
@@ -17,20 +17,20 @@
 
 }
 
-FakeEndpoint::FakeEndpoint(VirtualTime& aTime,
+FakeEndpoint::FakeEndpoint(Timeline aTime,
                            std::string aId,
                            Resources aCapacity,
                            double aSpeed,
                            WorkHook aWork,
                            RunHook aRunHook)
   : speed(aSpeed)
-  , time_(aTime)
+  , time_(std::move(aTime))
   , id_(std::move(aId))
   , capacity_(aCapacity)
   , free_(aCapacity)
   , work_(std::move(aWork))
   , runHook_(std::move(aRunHook))
-  , startedAt_(aTime.Now())
+  , startedAt_(time_.now())
 {
 }
 
@@ -46,7 +46,7 @@
 
 std::int64_t FakeEndpoint::ClockMs() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(time_.Now() -
+  return std::chrono::duration_cast<std::chrono::milliseconds>(time_.now() -
                                                                startedAt_)
            .count() +
          1;
@@ -56,7 +56,7 @@
 {
   leaseClockMs_ = std::max(
     leaseClockMs_, std::min(aDeadlineClockMs, ClockMs() + kMostLeaseMs));
-  time_.After(std::chrono::milliseconds(
+  time_.after(std::chrono::milliseconds(
                 std::max<std::int64_t>(0, leaseClockMs_ - ClockMs()) + 1),
               [this] { CheckLease(); });
 }
@@ -67,12 +67,15 @@
     return;
   }
   while (!running_.empty()) {
-    End(running_.begin()->first, RunEnd::Lapsed);
+    End(running_.begin()->first,
+        RunEnd::Lapsed,
+        startedAt_ + std::chrono::milliseconds(leaseClockMs_));
   }
 }
 
 OrderReply FakeEndpoint::Start(const StartOrder& aOrder, const Resources& aEach)
 {
+  CheckLease();
   const std::string name = NameOf(aOrder.run.task);
   const auto reply = [this](OrderOutcome aOutcome) {
     rejected_ += aOutcome == OrderOutcome::NoRoom ? 1 : 0;
@@ -101,7 +104,7 @@
   free_ -= aEach;
   const std::uint64_t serial = ++serial_;
   running_[name] = { aOrder.run.task, { aOrder.run.run, aEach, serial } };
-  runHook_(aOrder.run.task, true);
+  runHook_({ aOrder.run.task, aOrder.run.run, std::nullopt, time_.now() });
   Extend(aOrder.deadlineClockMs);
   const Duration work = failsAll ? Duration(-1) : work_(aOrder.run.task);
   if (work == Duration(0)) {
@@ -112,7 +115,7 @@
                       ? Duration(1000)
                       : Duration(static_cast<std::int64_t>(
                           static_cast<double>(work.count()) / speed));
-  time_.After(took, [this, serial, name, how] { Finish(serial, name, how); });
+  time_.after(took, [this, serial, name, how] { Finish(serial, name, how); });
   return reply(OrderOutcome::Accepted);
 }
 
@@ -128,7 +131,7 @@
   const auto found = running_.find(name);
   if (found != running_.end() &&
       found->second.second.number == aOrder.run.run) {
-    End(name, RunEnd::Stopped);
+    End(name, RunEnd::Stopped, time_.now());
   }
   return { OrderOutcome::Accepted, ClockMs() };
 }
@@ -137,13 +140,14 @@
                           const std::string& aTask,
                           RunEnd aHow)
 {
+  CheckLease(); // Timers fire late in a process that stood still.
   const auto found = running_.find(aTask);
   if (found != running_.end() && found->second.second.serial == aSerial) {
-    End(aTask, aHow);
+    End(aTask, aHow, time_.now());
   }
 }
 
-void FakeEndpoint::End(const std::string& aTask, RunEnd aHow)
+void FakeEndpoint::End(const std::string& aTask, RunEnd aHow, TimePoint aAt)
 {
   const auto ended = running_.extract(aTask);
   const auto& [task, run] = ended.mapped();
@@ -151,7 +155,7 @@
   auto& highest = highestEnded_[aTask];
   highest = std::max(highest, run.number);
   ended_.push_back({ ++position_, { task, run.number }, aHow });
-  runHook_(task, false);
+  runHook_({ task, run.number, aHow, aAt });
   std::vector<WaitingLook> looks;
   looks.swap(looks_);
   for (const WaitingLook& look : looks) {
@@ -182,6 +186,7 @@
     return;
   }
   token_ = aOrder.target.fencingToken;
+  CheckLease();
   if (aOrder.deadlineClockMs > 0) {
     Extend(aOrder.deadlineClockMs);
   }
@@ -197,7 +202,7 @@
   }
   const std::uint64_t serial = ++serial_;
   looks_.push_back({ serial, std::move(aDone) });
-  time_.After(aOrder.wait, [this, serial] {
+  time_.after(aOrder.wait, [this, serial] {
     const auto found =
       std::find_if(looks_.begin(), looks_.end(), [serial](const auto& aLook) {
         return aLook.serial == serial;
@@ -213,7 +218,7 @@
 void FakeEndpoint::Crash()
 {
   for (const auto& [name, run] : running_) {
-    runHook_(run.first, false);
+    runHook_({ run.first, run.second.number, RunEnd::Other, time_.now() });
   }
   running_.clear();
   highestEnded_.clear();
@@ -224,7 +229,7 @@
   position_ = 0;
   token_ = 0;
   leaseClockMs_ = 0;
-  startedAt_ = time_.Now();
+  startedAt_ = time_.now();
   ++bornMs_;
   for (const WaitingLook& look : looks) {
     look.done(LookResult()); // The connection is reset.
--- a/tests/support/FakeEndpoint.h
+++ b/standins/platform/FakeEndpoint.h
@@ -1,18 +1,35 @@
-#ifndef HEMLOCKHAVEN_TESTS_SUPPORT_FAKEENDPOINT_H
-#define HEMLOCKHAVEN_TESTS_SUPPORT_FAKEENDPOINT_H
+#ifndef HEMLOCKHAVEN_STANDINS_PLATFORM_FAKEENDPOINT_H
+#define HEMLOCKHAVEN_STANDINS_PLATFORM_FAKEENDPOINT_H
 
 #include "hemlockhaven/coordinator/Coordinator.h"
-#include "support/VirtualTime.h"
+#include "hemlockhaven/core/Time.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace hemlockhaven::Testing {
 
+//! The clock and timers that an endpoint goes by.
+struct Timeline
+{
+  Clock now;
+  std::function<void(Duration, std::function<void()>)> after;
+};
+
+//! The begin or end of a run.
+struct RunEvent
+{
+  TaskKey task;
+  std::uint32_t run = 0;
+  std::optional<RunEnd> how; //!< Nothing: it began.
+  TimePoint at{}; //!< A lapsed run ended with its lease, not when that is seen.
+};
+
 //! An endpoint with the platform's rules for tokens, leases, run numbers and
 //! lists of ends. Work is timed by a hook.
 class FakeEndpoint
@@ -20,10 +37,9 @@
 public:
   //! Run time of a task at speed 1; negative: it fails at once; zero: it hangs.
   using WorkHook = std::function<Duration(const TaskKey&)>;
-  //! A run began (true) or ended (false).
-  using RunHook = std::function<void(const TaskKey&, bool aBegan)>;
+  using RunHook = std::function<void(const RunEvent&)>;
 
-  FakeEndpoint(VirtualTime& aTime,
+  FakeEndpoint(Timeline aTime,
                std::string aId,
                Resources aCapacity,
                double aSpeed,
@@ -50,6 +66,7 @@
   double speed = 1;
   bool failsAll = false;
   std::size_t Rejected() const { return rejected_; }
+  std::int64_t ClockMs() const;
 
 private:
   struct Run
@@ -64,14 +81,13 @@
     std::function<void(LookResult)> done;
   };
 
-  std::int64_t ClockMs() const;
   void Extend(std::int64_t aDeadlineClockMs);
-  void End(const std::string& aTask, RunEnd aHow);
+  void End(const std::string& aTask, RunEnd aHow, TimePoint aAt);
   void Finish(std::uint64_t aSerial, const std::string& aTask, RunEnd aHow);
   void CheckLease();
   LookResult Report() const;
 
-  VirtualTime& time_;
+  Timeline time_;
   std::string id_;
   Resources capacity_;
   Resources free_;
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -27,20 +27,24 @@
 {
   for (std::size_t i = 0; i < aOptions.endpoints; ++i) {
     endpoints_.push_back(std::make_unique<FakeEndpoint>(
-      time_,
+      Timeline{ time_.AsClock(),
+                [this](Duration aDelay, std::function<void()> aEvent) {
+                  time_.After(aDelay, std::move(aEvent));
+                } },
       "e" + std::to_string(i),
       aOptions.capacity,
       aOptions.speeds[i % aOptions.speeds.size()],
       [this](const TaskKey& aTask) { return work(aTask); },
-      [this](const TaskKey& aTask, bool aBegan) {
-        const std::string name = NameOf(aTask);
+      [this](const RunEvent& aEvent) {
+        const std::string name = NameOf(aEvent.task);
+        const bool began = !aEvent.how;
         int& active = active_[name];
-        active += aBegan ? 1 : -1;
-        runs_ += aBegan ? 1 : 0;
+        active += began ? 1 : -1;
+        runs_ += began ? 1 : 0;
         if (trace) {
           trace(std::to_string(time_.Now().time_since_epoch().count() / 1000 %
                                1000000) +
-                " run " + name + (aBegan ? " begins" : " ends"));
+                " run " + name + (began ? " begins" : " ends"));
         }
         if (active > 1) {
           doubled_.push_back(name);
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -3,7 +3,7 @@
 
 #include "hemlockhaven/coordinator/Coordinator.h"
 #include "hemlockhaven/fleet/Dice.h"
-#include "support/FakeEndpoint.h"
+#include "standins/platform/FakeEndpoint.h"
 #include "support/VirtualTime.h"
 
 #include <cstdint>
