--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -98,7 +98,8 @@
             << ledger.CountStatus(429) << " 429, " << ledger.CountStatus(503)
             << " 503, " << ledger.CountStatus(504) << " 504, "
             << ledger.CountStatus(0) << " none; " << plan.History().size()
-            << " faults; " << faults.size() << " broken\n";
+            << " faults; " << faults.size() << " broken\n"
+            << std::flush;
   return faults;
 }
 
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -123,7 +123,10 @@
                     const LookReport& aReport,
                     SchedulerEffects& aEffects);
   void SuspectFailure(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
+
+  // SchedulerTicks.cpp
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
+  void TickRun(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
 
   // SchedulerState.cpp
