--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -170,7 +170,8 @@
       default:
         break;
     }
-    Reply(aReply, body.empty() ? 200 : 409, std::move(body));
+    const unsigned status = body.empty() ? 200 : 409;
+    Reply(aReply, status, std::move(body));
   }
 
   void Reply(const ReplyHook& aReply, unsigned aStatus, json aBody) const
