Hold another leader's work while its newest endpoints are not known

Its logs: the leader learned of an endpoint that had just replaced another, the store went down before the next leader, which reads the list less often, had read of it, and the new leader looked at all endpoints of its own list, found the tasks nowhere and started them again while the lease at the unknown endpoint still ran (0.6 s). Ruled out: the pace of new terms (the new term looked at all listed endpoints); the newer hold (it was released by that look). Change: a leader's beats tell where in the store's list its newest endpoint stands. A new leader that has not read so far holds such work for the doubt of a takeover (1.3 s). A new endpoint gets no work for 0.45 s, so that the beats have told of it, or a front that hears none has been given up. Tests: NewTerm.WaitsForEndpointsThatAreNotListed fails without the hold; LeaderElection.KnowsWhetherItsListIsBehindTheLeaders; EndpointRegistry.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -76,6 +76,12 @@
   // From the platform.
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints);
 
+  //! How far the list of endpoints has been read.
+  void SetListPosition(const ListPosition& aPosition)
+  {
+    election_.SetListPosition(aPosition);
+  }
+
   //! Whether this daemon may lead; false with a reason while it knows no
   //! endpoints, is too slow, or stops.
   void SetCanLead(bool aCanLead, std::string_view aReason);
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/leadership/Beat.h"
+#include "hemlockhaven/leadership/ListPosition.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -107,6 +108,11 @@
   //! To be called every few tens of milliseconds.
   ElectionEffects Tick();
 
+  //! How far this daemon has read the list of endpoints.
+  void SetListPosition(const ListPosition& aPosition);
+  //! Whether another leader may have used an endpoint that is not known here.
+  bool IsListBehind() const;
+
   //! Share of new work that this daemon would refuse as leader.
   void SetShedShare(double aShare);
   //! Share of new work that the leader last said to refuse.
@@ -169,6 +175,8 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t token_ = 0;
   std::uint64_t highestToken_ = 0;
+  ListPosition list_;
+  std::uint64_t newestOfLeaders_ = 0; //!< Highest newestEndpoint heard.
   double shedShare_ = 0;
   std::string leader_;
   TimePoint leaderlessSince_;
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -56,6 +56,9 @@
   bool IsLeading() const;
 
   //! The present list of endpoints; others get nothing new.
+  //! Whether an earlier leader may have used endpoints that are not listed
+  //! here: its work then waits until the leases of such endpoints have lapsed.
+  void SetListBehind(bool aBehind);
   SchedulerEffects SetEndpoints(Span<const ListedEndpoint> aEndpoints);
 
   SchedulerEffects Submit(std::string_view aFront, Work aWork);
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -36,6 +36,9 @@
   Duration termPerEndpoint{ 500 };
   //! Endpoints are expected to answer a new leader's first look within this.
   Duration takeover{ 300000 };
+  //! A new endpoint gets no work until the beats have told of it, or until the
+  //! work of a front that heard none of them has been given up.
+  Duration tellEndpoint{ 450000 };
   //! An endpoint that left the list may still run work behind a cut for so
   //! long; cuts seldom last longer.
   Duration forgetEndpoint{ 30000000 };
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -294,7 +294,9 @@
 void Coordinator::Tick()
 {
   Apply(election_.Tick());
+  const bool behind = election_.IsListBehind();
   for (const auto& scheduler : Schedulers()) {
+    scheduler->SetListBehind(behind);
     Apply(*scheduler, scheduler->Tick());
   }
   Apply(desk_.Tick());
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -187,6 +187,7 @@
   }
   highestToken_ =
     std::max({ highestToken_, aBeat.highestToken, aBeat.leaderToken });
+  newestOfLeaders_ = std::max(newestOfLeaders_, aBeat.newestEndpoint);
   for (const Member& other : aBeat.known) {
     if (other.address != self_.address) {
       members_[other.address].member.address = other.address;
@@ -336,6 +337,8 @@
   beat.highestToken = highestToken_;
   beat.interval = aKnown.interval;
   beat.stayAway = std::max(Duration(0), awayUntil_ - now_);
+  beat.newestEndpoint =
+    token_ != 0 ? std::max(newestOfLeaders_, list_.newest) : 0;
   beat.shedShare = shedShare_;
   beat.canLead = canLead_ && now_ >= awayUntil_;
   beat.leaving = leaving_;
@@ -490,6 +493,18 @@
   return effects;
 }
 
+void LeaderElection::SetListPosition(const ListPosition& aPosition)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  list_ = aPosition;
+}
+
+bool LeaderElection::IsListBehind() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return newestOfLeaders_ > list_.readUpTo;
+}
+
 void LeaderElection::SetShedShare(double aShare)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -23,6 +23,7 @@
                               std::uint64_t,
                               std::int64_t,
                               std::int64_t,
+                              std::uint64_t,
                               double,
                               bool,
                               bool,
@@ -79,10 +80,10 @@
   for (const Member& member : aBeat.known) {
     known.push_back(FieldsOf(member));
   }
-  return { FieldsOf(aBeat.from),   aBeat.sequence,     aBeat.echo,
-           aBeat.leaderToken,      aBeat.highestToken, aBeat.interval.count(),
-           aBeat.stayAway.count(), aBeat.shedShare,    aBeat.canLead,
-           aBeat.leaving,          std::move(known) };
+  return { FieldsOf(aBeat.from),   aBeat.sequence,       aBeat.echo,
+           aBeat.leaderToken,      aBeat.highestToken,   aBeat.interval.count(),
+           aBeat.stayAway.count(), aBeat.newestEndpoint, aBeat.shedShare,
+           aBeat.canLead,          aBeat.leaving,        std::move(known) };
 }
 
 Beat FromFields(const BeatFields& aFields)
@@ -99,6 +100,7 @@
            beat.highestToken,
            interval,
            stayAway,
+           beat.newestEndpoint,
            beat.shedShare,
            beat.canLead,
            beat.leaving,
--- a/src/scheduler/EndpointEntry.cpp
+++ b/src/scheduler/EndpointEntry.cpp
@@ -15,6 +15,9 @@
   if (!isListed) {
     return "not listed";
   }
+  if (aNow < usableAt) {
+    return "just listed";
+  }
   if (listed.draining) {
     return "draining";
   }
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -50,6 +50,7 @@
   ListedEndpoint listed;
   bool isListed = true;
   TimePoint unlistedAt{};
+  TimePoint usableAt{}; //!< The other daemons have heard of it by then.
   Resources free;
   //! Active runs of known work here.
   std::vector<std::pair<WorkEntry*, TaskEntry*>> runs;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -52,6 +52,12 @@
   return state_->IsLeading();
 }
 
+void Scheduler::SetListBehind(bool aBehind)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_->SetListBehind(aBehind);
+}
+
 SchedulerEffects Scheduler::SetEndpoints(Span<const ListedEndpoint> aEndpoints)
 {
   return Locked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -123,6 +123,7 @@
     const auto [found, isNew] = endpoints_.try_emplace(listed.id, listed);
     EndpointEntry& endpoint = found->second;
     if (isNew) {
+      endpoint.usableAt = now_ + policy_.tellEndpoint;
       if (IsLeading()) {
         Look(endpoint, Duration(0), aEffects);
       }
@@ -341,7 +342,7 @@
 
 bool SchedulerState::MayHideRuns() const
 {
-  if (wantsNewTerm_) {
+  if (wantsNewTerm_ || listBehind_) {
     return true;
   }
   // An endpoint that is cut off leaves the list, and runs on under a leader on
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -25,6 +25,7 @@
   void Lead(std::uint64_t aFencingToken, SchedulerEffects& aEffects);
   void Yield(std::string_view aReason, SchedulerEffects& aEffects);
   bool IsLeading() const { return token_ != 0; }
+  void SetListBehind(bool aBehind) { listBehind_ = aBehind; }
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints,
                     SchedulerEffects& aEffects);
   void Submit(std::string_view aFront, Work aWork, SchedulerEffects& aEffects);
@@ -172,6 +173,7 @@
   TimePoint ledSince_{};
   //! Work of another leader came in this term.
   bool wantsNewTerm_ = false;
+  bool listBehind_ = false; //!< Endpoints may be in use that are not listed.
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   Works works_;
   Queue queue_;
--- a/tests/adapter/RecordsTest.cpp
+++ b/tests/adapter/RecordsTest.cpp
@@ -314,21 +314,35 @@
   registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint),
                                            Record("b", kEndpoint),
                                            Record("c", "garbage") },
-                 true);
+                 true,
+                 2);
   LONGS_EQUAL(2, registry.TakeChanged()->size());
   LONGS_EQUAL(1, bad);
   CHECK_FALSE(registry.TakeChanged().has_value());
 
   // The store comes back without them, and the endpoints a second later.
-  registry.Apply(std::vector<KeyedRecord>{}, true);
+  registry.Apply(std::vector<KeyedRecord>{}, true, 3);
   CHECK_FALSE(registry.TakeChanged().has_value());
   now += std::chrono::seconds(1);
-  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false);
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false, 4);
   LONGS_EQUAL(2, registry.TakeChanged()->size());
   now += std::chrono::seconds(2);
   LONGS_EQUAL(1, registry.TakeChanged()->size());
 }
 
+// Tells a leader's successor whether it knows all endpoints of the leader.
+TEST(EndpointRegistry, KnowsWhereItsNewestEndpointWasListed)
+{
+  EndpointRegistry registry([] { return TimePoint(std::chrono::hours(1)); },
+                            [](const std::string&, const std::string&) {});
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, true, 7);
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false, 9);
+  LONGS_EQUAL(9, registry.Position().readUpTo);
+  LONGS_EQUAL(7, registry.Position().newest);
+  registry.Apply(std::vector<KeyedRecord>{ Record("b", kEndpoint) }, false, 10);
+  LONGS_EQUAL(10, registry.Position().newest);
+}
+
 TEST_GROUP(PlatformSettings){};
 
 TEST(PlatformSettings, NamesEachFault)
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -84,6 +84,13 @@
     }
   }
 
+  void TellNewest(std::uint64_t aPosition)
+  {
+    for (Beat& beat : heard_) {
+      beat.newestEndpoint = aPosition;
+    }
+  }
+
   //! Another daemon's beats tell of ever higher tokens.
   void RaiseTokens()
   {
@@ -330,6 +337,32 @@
   CHECK(bench.terms - before <= 8);
 }
 
+// A leader's list may be newer than that of the next one.
+TEST(LeaderElection, KnowsWhetherItsListIsBehindTheLeaders)
+{
+  struct ListRow
+  {
+    const char* guardsAgainst;
+    std::uint64_t told;
+    ListPosition own;
+    bool behind;
+  };
+  const ListRow rows[] = {
+    { "waiting where no endpoint is new", 10, { 12, 5 }, false },
+    { "an endpoint that only the leader knows", 10, { 9, 9 }, true },
+    { "waiting for the list as it is", 10, { 10, 3 }, false },
+  };
+  for (const ListRow& row : rows) {
+    Bench bench;
+    bench.Hear("large", 2, 7);
+    bench.TellNewest(row.told);
+    bench.Election().SetListPosition(row.own);
+    bench.Wait(1000);
+    CHECK_EQUAL_TEXT(
+      row.behind, bench.Election().IsListBehind(), row.guardsAgainst);
+  }
+}
+
 TEST(LeaderElection, ReportsLostMembersOnce)
 {
   Bench bench;
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <string>
@@ -133,6 +134,44 @@
   STRCMP_EQUAL("a", ended.c_str());
 }
 
+// A reset may come at any moment of a connection, also between the sender's
+// connect and its first bytes.
+TEST(LinkNetwork, ConnectsAgainAfterResets)
+{
+  net::io_context context;
+  LinkNetwork::Hooks hooks;
+  LinkNetwork sender(context, AnyPort(), LinkNetwork::Limits(), hooks);
+  net::ip::tcp::acceptor acceptor(context, AnyPort());
+  const std::string address =
+    "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  constexpr int kResets = 40;
+  for (int i = 0; i < kResets; ++i) {
+    bool reset = false;
+    net::ip::tcp::socket peer(context);
+    std::array<char, 4096> bytes{};
+    const auto end = [&] {
+      boost::system::error_code ignored;
+      peer.set_option(net::socket_base::linger(true, 0), ignored);
+      peer.close(ignored);
+      reset = true;
+    };
+    acceptor.async_accept(peer, [&](const auto& aError) {
+      if (aError || i % 2 == 0) {
+        end();
+        return;
+      }
+      peer.async_read_some(net::buffer(bytes),
+                           [&](const auto&, std::size_t) { end(); });
+    });
+    CHECK_TEXT(RunUntil(context,
+                        [&] {
+                          sender.Send(address, MakeBeat("a"));
+                          return reset;
+                        }),
+               std::to_string(i).c_str());
+  }
+}
+
 TEST(LinkNetwork, DropsWhatWaitsForADaemonThatIsGone)
 {
   net::io_context context;
--- a/tests/scheduler/NewTermTest.cpp
+++ b/tests/scheduler/NewTermTest.cpp
@@ -37,6 +37,8 @@
     terms = 0;
   }
 
+  void SetListBehind(bool aBehind) { scheduler_.SetListBehind(aBehind); }
+
   void Submit(std::uint32_t aSubmissions)
   {
     Work work;
@@ -138,6 +140,26 @@
 
 TEST_GROUP(NewTerm){};
 
+// A leader whose list of endpoints is older than its predecessor's cannot look
+// everywhere: leases of what it does not know have to lapse.
+TEST(NewTerm, WaitsForEndpointsThatAreNotListed)
+{
+  Bench bench(4);
+  bench.SetListBehind(true);
+  bench.Submit(0);
+  bench.Submit(1);
+  bench.Wait(1200);
+  LONGS_EQUAL(1, bench.startTokens.size());
+  bench.Wait(300);
+  LONGS_EQUAL(2, bench.startTokens.size());
+  bench.Submit(1);
+  bench.Wait(100);
+  LONGS_EQUAL(2, bench.startTokens.size());
+  bench.SetListBehind(false);
+  bench.Wait(100);
+  LONGS_EQUAL(3, bench.startTokens.size());
+}
+
 TEST(NewTerm, ComesBeforeWorkOfAnotherLeader)
 {
   for (const NewTermRow& row : kNewTermRows) {
