--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -128,8 +128,7 @@
                        const Address& aListen,
                        const Address& aServer,
                        std::uint64_t aSeed)
-  : context_(aContext)
-  , acceptor_(aContext, aListen)
+  : acceptor_(aContext, aListen)
   , server_(aServer)
   , dice_(aSeed)
 {
--- a/soak/FaultProxy.h
+++ b/soak/FaultProxy.h
@@ -46,7 +46,6 @@
 private:
   void Accept();
 
-  boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   Address server_;
   Dice dice_;
--- a/soak/Ledger.cpp
+++ b/soak/Ledger.cpp
@@ -92,15 +92,18 @@
     }
   }
   for (auto& [task, ofTask] : spans) {
-    std::sort(ofTask.begin(), ofTask.end(), [](const auto& a, const auto& b) {
-      return a.first.from < b.first.from;
-    });
+    std::sort(
+      ofTask.begin(), ofTask.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first.from < aRight.first.from;
+      });
     for (std::size_t i = 1; i < ofTask.size(); ++i) {
       const auto& [before, beforeAt] = ofTask[i - 1];
       const auto& [next, nextAt] = ofTask[i];
       if (next.from + kClockSlack < before.until) {
-        aFaults.push_back("task " + task + " ran twice at once, at " +
-                          beforeAt + " and " + nextAt);
+        std::string fault = "task ";
+        fault.append(task).append(" ran twice at once, at ");
+        aFaults.push_back(
+          fault.append(beforeAt).append(" and ").append(nextAt));
       }
     }
   }
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -147,8 +147,9 @@
   reply.body = BigEndian(aTopic.records.size(), 8) + BigEndian(0, 8);
   for (std::uint64_t i = aFrom; i < aTopic.records.size(); ++i) {
     const auto& [key, value] = aTopic.records[i];
-    const std::string record = BigEndian(key.size(), 1) + key + value;
-    reply.body += BigEndian(record.size(), 4) + record;
+    std::string record = BigEndian(key.size(), 1);
+    record.append(key).append(value);
+    reply.body.append(BigEndian(record.size(), 4)).append(record);
   }
   aReply(std::move(reply));
 }
