Let programs that tests start inherit no sockets

Ruled out: OutgoingLink after resets (LinkNetwork.ConnectsAgainAfterResets, 40 resets), the election (fresh processes joined at once). Change: Process closes all but the standard streams in the child.

--- a/tests/system/Process.cpp
+++ b/tests/system/Process.cpp
@@ -38,6 +38,9 @@
                                      O_WRONLY | O_CREAT | O_TRUNC,
                                      kOutputMode);
   }
+  // Sockets of this process must not live on in the program when they are
+  // closed here.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failed = posix_spawn(
     &id_, texts.front().c_str(), &actions, nullptr, pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
