--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -209,8 +209,11 @@
   }
   election_.SetShedShare(share);
   if (changed) {
-    Note(
-      "shed", share > 0 ? "refusing a share" : "ended", std::to_string(share));
+    Decision decision;
+    decision.step = "shed";
+    decision.outcome = share > 0 ? "refusing a share" : "ended";
+    decision.inputs = "share=" + std::to_string(share);
+    hooks_.note(decision);
   }
 }
 
