--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -67,7 +67,8 @@
   token_ = aFencingToken;
   ledSince_ = now_;
   wantsNewTerm_ = false;
-  Note(aEffects, "lead", "", nullptr, "taking over", std::to_string(token_));
+  Note(aEffects, "lead", "", nullptr, "taking over");
+  aEffects.decisions.back().inputs = "token=" + std::to_string(token_);
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.taken = false;
     endpoint.looking = false;
