Refuse requests that come while an HTTP server stops

Cause: test_http under the thread sanitizer crashed in HandlerPool's mutex: the destructor of HttpServer set its pool to null before it joined the threads, while the listener still handed requests in. Change: the pool lives as long as the server; after Stop it takes nothing, and the request is refused as not run.

--- a/src/http/HandlerPool.cpp
+++ b/src/http/HandlerPool.cpp
@@ -10,6 +10,11 @@
 }
 
 HandlerPool::~HandlerPool()
+{
+  Stop();
+}
+
+void HandlerPool::Stop()
 {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -17,20 +22,26 @@
   }
   wake_.notify_all();
   for (std::thread& thread : threads_) {
-    thread.join();
+    if (thread.joinable()) {
+      thread.join();
+    }
   }
 }
 
-void HandlerPool::Run(std::function<void()> aHandler)
+bool HandlerPool::Run(std::function<void()> aHandler)
 {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (stopping_) {
+      return false;
+    }
     waiting_.push_back(std::move(aHandler));
     if (waiting_.size() > idle_ && threads_.size() < mostThreads_) {
       threads_.emplace_back([this] { Work(); });
     }
   }
   wake_.notify_one();
+  return true;
 }
 
 void HandlerPool::Work()
--- a/src/http/HandlerPool.h
+++ b/src/http/HandlerPool.h
@@ -17,12 +17,15 @@
 {
 public:
   explicit HandlerPool(std::size_t aMostThreads);
-  //! Runs what waits and joins the threads.
   ~HandlerPool();
   HandlerPool(const HandlerPool&) = delete;
   HandlerPool& operator=(const HandlerPool&) = delete;
 
-  void Run(std::function<void()> aHandler);
+  //! False after Stop: the handler will not run.
+  bool Run(std::function<void()> aHandler);
+
+  //! Runs what waits and joins the threads.
+  void Stop();
 
 private:
   void Work();
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -87,13 +87,14 @@
 
 HttpServer::HttpServer(const Options& aOptions, Handler aHandler)
   : handler_(std::move(aHandler))
-  , pool_(std::make_unique<HandlerPool>(aOptions.maxThreads))
+  , pool_(aOptions.maxThreads)
   , listener_(
       context_,
       { boost::asio::ip::make_address(aOptions.address), aOptions.port },
       LimitsOf(aOptions),
-      [this](const IncomingRequest& aRequest, ReplyHook aReply) -> LeftHook {
-        Answer(aRequest, std::move(aReply));
+      [this](const IncomingRequest& aRequest,
+             const ReplyHook& aReply) -> LeftHook {
+        Answer(aRequest, aReply);
         return nullptr;
       },
       [](RequestFault aFault) { return Encode(ReplyTo(aFault)); })
@@ -103,30 +104,39 @@
 
 HttpServer::~HttpServer()
 {
-  pool_.reset();
+  // The listener still hands requests in until the context stops.
+  pool_.Stop();
   // Behind the replies of the handlers that have just ended.
   boost::asio::post(context_, [this] { context_.stop(); });
   thread_.join();
 }
 
-void HttpServer::Answer(const IncomingRequest& aRequest, ReplyHook aReply)
+void HttpServer::Answer(const IncomingRequest& aRequest,
+                        const ReplyHook& aReply)
 {
   if (!aRequest.header("Transfer-Encoding").empty()) {
     aReply(Encode(Malformed("a body needs Content-Length")));
     return;
   }
-  pool_->Run([this,
-              request = KeptRequest{ std::string(aRequest.method),
-                                     std::string(aRequest.target),
-                                     std::string(aRequest.body) },
-              reply = std::move(aReply)] {
-    try {
-      reply(Encode(handler_(request.View())));
-    } catch (const std::exception& problem) {
-      reply(Encode(ReplyOf(
-        Error::Unknown("answer", "", Reason::Internal, problem.what()))));
-    }
-  });
+  const bool runs =
+    pool_.Run([this,
+               request = KeptRequest{ std::string(aRequest.method),
+                                      std::string(aRequest.target),
+                                      std::string(aRequest.body) },
+               reply = aReply] {
+      try {
+        reply(Encode(handler_(request.View())));
+      } catch (const std::exception& problem) {
+        reply(Encode(ReplyOf(
+          Error::Unknown("answer", "", Reason::Internal, problem.what()))));
+      }
+    });
+  if (!runs) {
+    aReply(Encode(ReplyOf(Error::NotRun("accept",
+                                        Reason::NotReady,
+                                        "this server stops",
+                                        std::chrono::seconds(1)))));
+  }
 }
 
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -12,7 +12,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <thread>
 
@@ -46,11 +45,11 @@
   HttpServer& operator=(const HttpServer&) = delete;
 
 private:
-  void Answer(const IncomingRequest& aRequest, ReplyHook aReply);
+  void Answer(const IncomingRequest& aRequest, const ReplyHook& aReply);
 
   Handler handler_;
   boost::asio::io_context context_{ 1 };
-  std::unique_ptr<HandlerPool> pool_;
+  HandlerPool pool_;
   HttpListener listener_;
   std::thread thread_;
 };
