--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -134,7 +134,8 @@
     constexpr Duration kGrace{ 6000000 };
     After(kGrace, [this, daemon] {
       if (fleet_.DaemonExit(*daemon).value_or(-1) != 0) {
-        Note("daemon " + std::to_string(*daemon) + " did not stop in time");
+        ledger_.Broken("daemon " + std::to_string(*daemon) +
+                       " did not stop in time without an error");
       }
       fleet_.StartDaemon(*daemon);
       takenDaemons_.erase(*daemon);
--- a/soak/Ledger.cpp
+++ b/soak/Ledger.cpp
@@ -49,7 +49,7 @@
 
 std::vector<std::string> Ledger::Faults() const
 {
-  std::vector<std::string> faults;
+  std::vector<std::string> faults = seen_;
   CheckDoubleRuns(faults);
   CheckAnswers(faults);
   CheckForbidden(faults);
--- a/soak/Ledger.h
+++ b/soak/Ledger.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlockhaven::Soak {
@@ -46,6 +47,9 @@
   void Told(std::size_t aDaemon, TimePoint aAt);
   void Disturbed(std::size_t aDaemon, TimePoint aAt);
 
+  //! A promise was seen to be broken while the faults went on.
+  void Broken(std::string aFault) { seen_.push_back(std::move(aFault)); }
+
   //! What was broken; empty: nothing.
   std::vector<std::string> Faults() const;
 
@@ -64,6 +68,7 @@
     TimePoint until{};
   };
 
+  std::vector<std::string> seen_;
   std::vector<CallerRecord> requests_;
   std::vector<RunRecord> runs_;
   std::map<std::string, std::vector<TimePoint>> kills_; //!< By endpoint.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -53,7 +53,10 @@
   Soak::Ledger ledger;
   Soak::FleetOptions fleetOptions = aOptions.fleet;
   fleetOptions.seed = aSeed;
-  fleetOptions.folder += "/seed-" + std::to_string(aSeed);
+  // Runs of one seed side by side must not write each other's files.
+  fleetOptions.folder.append("/seed-").append(std::to_string(aSeed));
+  fleetOptions.folder.append("-network-");
+  fleetOptions.folder.append(std::to_string(fleetOptions.network));
   std::filesystem::create_directories(fleetOptions.folder);
   Soak::Fleet fleet(context, fleetOptions, ledger);
   Soak::Callers callers(context, fleet, ledger, aSeed + 1);
