Log why work of an earlier leader is released, and what a daemon's list holds

The incident's log could not tell whether a new leader knew an endpoint that another leader used (hypothesis 1), or knew it and released held work too early (hypothesis 2): a newly listed endpoint, a list that changed at a daemon that does not lead, and the end of a hold had no line.

No decision changes.

--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -126,10 +126,14 @@
     if (isNew) {
       endpoint.usableAt = now_ + policy_.tellEndpoint;
       if (IsLeading()) {
+        Note(aEffects, "endpoint", "", &endpoint, "listed");
         Look(endpoint, Duration(0), aEffects);
       }
       continue;
     }
+    if (!endpoint.isListed) {
+      Note(aEffects, "endpoint", "", &endpoint, "listed again");
+    }
     if (listed.draining != endpoint.listed.draining) {
       Note(aEffects,
            "endpoint",
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -129,6 +129,10 @@
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickRun(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
+  //! Work that an earlier leader had may start.
+  void EndHold(WorkEntry& aEntry,
+               std::string_view aReason,
+               SchedulerEffects& aEffects);
 
   // SchedulerState.cpp
   void Look(EndpointEntry& aEndpoint,
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -72,11 +72,30 @@
   }
 }
 
+void SchedulerState::EndHold(WorkEntry& aEntry,
+                             std::string_view aReason,
+                             SchedulerEffects& aEffects)
+{
+  const Duration left = *aEntry.heldUntil - now_;
+  aEntry.heldUntil.reset();
+  Note(aEffects, "hold", aEntry.Spec().id, nullptr, "released", aReason);
+  aEffects.decisions.back().inputs =
+    "heldMs=" + std::to_string((policy_.takeoverDoubt - left).count() / 1000) +
+    " endpoints=" + std::to_string(endpoints_.size()) +
+    " termMs=" + std::to_string((now_ - ledSince_).count() / 1000);
+  AdoptOrphans(aEntry, aEffects);
+}
+
 void SchedulerState::TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects)
 {
-  if (aEntry.heldUntil && (now_ >= *aEntry.heldUntil || !MayHideRuns())) {
-    aEntry.heldUntil.reset();
-    AdoptOrphans(aEntry, aEffects);
+  if (aEntry.heldUntil) {
+    const bool allSeen = !MayHideRuns();
+    if (allSeen || now_ >= *aEntry.heldUntil) {
+      EndHold(aEntry,
+              allSeen ? "all endpoints have answered"
+                      : "earlier leases have lapsed",
+              aEffects);
+    }
   }
   for (TaskEntry& task : aEntry.Tasks()) {
     if (task.IsActive()) {
