Hold another leader's work while any of its endpoints are not known

Cause: a leader concludes that a task runs nowhere from a look at all endpoints that it knows. Ruled out: looks that raced with starts (the starts were 58 ms old, the way is 1 ms); a hold released too early with all endpoints known (in the test the new leader looks at all that it knows). Change: a leader bounds its endpoints from both sides, by when the last of them was listed and when the first of them left the list; endpoints that are dropped count while runs are left there. The bounds come with its beats, and a front adds them up over all leaders that had a piece of work and hands them on with it: in the incident the new leader had heard no beat of the old one, only its fronts. A leader holds such work for 1.3 s, as long as any lease can last, unless what it read of the list covers the bounds. The adapter tells the offset of the last of several pages, since keys removed between pages are missing too. Why it works: nothing is concluded from a look any more unless the look covered each endpoint that the earlier leader can have used. Frames have version 3.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -76,11 +76,9 @@
   // From the platform.
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints);
 
-  //! How far the list of endpoints has been read.
-  void SetListPosition(const ListPosition& aPosition)
-  {
-    election_.SetListPosition(aPosition);
-  }
+  //! What was read for the last SetEndpoints, and bounds on its endpoints.
+  void SetListPosition(const ListPosition& aPosition,
+                       const EndpointsInUse& aListed);
 
   //! Whether this daemon may lead; false with a reason while it knows no
   //! endpoints, is too slow, or stops.
@@ -107,6 +105,9 @@
 
 private:
   std::shared_ptr<Scheduler> SchedulerOf(const std::string& aService);
+  //! Keeps what beats and the own front tell of this daemon's endpoints true,
+  //! also before it leads: a term may begin between two ticks.
+  void TellInUse();
   std::vector<std::shared_ptr<Scheduler>> Schedulers() const;
   //! Whether new work is refused because the leader is too busy.
   bool IsShed();
--- a/include/hemlockhaven/front/FrontDesk.h
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -95,6 +96,9 @@
   //! The leader's answer.
   FrontEffects Answered(const WorkAnswer& aAnswer, std::string_view aLeader);
 
+  //! Endpoints that a daemon uses while it leads, as last heard.
+  void SetInUse(std::string_view aLeader, const EndpointsInUse& aEndpoints);
+
   //! Another leader, or none if empty.
   FrontEffects LeaderChanged(std::string_view aLeader);
 
@@ -129,10 +133,14 @@
 
   static constexpr std::size_t kShards = 8;
 
+  using InUseByLeader = std::map<std::string, EndpointsInUse, std::less<>>;
+
   Shard& ShardOf(std::string_view aWorkId);
   const Shard& ShardOf(std::string_view aWorkId) const;
+  //! aUsed: endpoints of the leader that had it last.
   void HandIn(Entry& aEntry,
               std::string_view aLeader,
+              const EndpointsInUse& aUsed,
               TimePoint aNow,
               FrontEffects& aEffects);
   static void Finish(Shard& aShard,
@@ -145,11 +153,13 @@
                      std::string_view aReason,
                      FrontEffects& aEffects);
   std::string PresentLeader() const;
+  EndpointsInUse InUseOf(std::string_view aLeader) const;
 
   Clock clock_;
   std::array<Shard, kShards> shards_;
   mutable std::mutex leaderMutex_; //!< Never held with a shard's.
   std::string leader_;
+  InUseByLeader inUse_; //!< Of each daemon that has led.
   std::atomic<std::uint64_t> nextTicket_{ 0 };
 };
 
--- a/include/hemlockhaven/leadership/Beat.h
+++ b/include/hemlockhaven/leadership/Beat.h
@@ -2,6 +2,7 @@
 #define HEMLOCKHAVEN_LEADERSHIP_BEAT_H
 
 #include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/EndpointsInUse.h"
 
 #include <cstdint>
 #include <string>
@@ -31,9 +32,7 @@
   //! Endpoints follow a leader that the sender does not see: a minority that
   //! hears it does not lead for so long.
   Duration stayAway{ 0 };
-  //! The newest endpoint that a leader may have started work at, as a position
-  //! in the list.
-  std::uint64_t newestEndpoint = 0;
+  EndpointsInUse inUse; //!< By a leader; else none.
   double shedShare = 0; //!< Of new work that a leader refuses.
   bool canLead = false; //!< Knows endpoints and does not stop.
   bool leaving = false;
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -4,7 +4,6 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/leadership/Beat.h"
-#include "hemlockhaven/leadership/ListPosition.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -108,10 +107,8 @@
   //! To be called every few tens of milliseconds.
   ElectionEffects Tick();
 
-  //! How far this daemon has read the list of endpoints.
-  void SetListPosition(const ListPosition& aPosition);
-  //! Whether another leader may have used an endpoint that is not known here.
-  bool IsListBehind() const;
+  //! Endpoints that this daemon may have started work at, for its beats.
+  void SetInUse(const EndpointsInUse& aEndpoints);
 
   //! Share of new work that this daemon would refuse as leader.
   void SetShedShare(double aShare);
@@ -175,8 +172,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t token_ = 0;
   std::uint64_t highestToken_ = 0;
-  ListPosition list_;
-  std::uint64_t newestOfLeaders_ = 0; //!< Highest newestEndpoint heard.
+  EndpointsInUse inUse_;
   double shedShare_ = 0;
   std::string leader_;
   TimePoint leaderlessSince_;
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -4,6 +4,8 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/scheduler/Effects.h"
+#include "hemlockhaven/scheduler/EndpointsInUse.h"
+#include "hemlockhaven/scheduler/ListPosition.h"
 #include "hemlockhaven/scheduler/ListedEndpoint.h"
 #include "hemlockhaven/scheduler/Reports.h"
 #include "hemlockhaven/scheduler/SchedulerPolicy.h"
@@ -56,10 +58,14 @@
   bool IsLeading() const;
 
   //! The present list of endpoints; others get nothing new.
-  //! Whether an earlier leader may have used endpoints that are not listed
-  //! here: its work then waits until the leases of such endpoints have lapsed.
-  void SetListBehind(bool aBehind);
   SchedulerEffects SetEndpoints(Span<const ListedEndpoint> aEndpoints);
+  //! What was read for the last SetEndpoints, and bounds on its endpoints. Work
+  //! of an earlier leader that used endpoints beyond it waits until their
+  //! leases have lapsed.
+  void SetListPosition(const ListPosition& aPosition,
+                       const EndpointsInUse& aListed);
+  //! Bounds on the endpoints that this scheduler uses.
+  EndpointsInUse InUse() const;
 
   SchedulerEffects Submit(std::string_view aFront, Work aWork);
 
--- a/include/hemlockhaven/scheduler/Work.h
+++ b/include/hemlockhaven/scheduler/Work.h
@@ -2,6 +2,7 @@
 #define HEMLOCKHAVEN_SCHEDULER_WORK_H
 
 #include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/EndpointsInUse.h"
 #include "hemlockhaven/scheduler/Resources.h"
 
 #include <cstdint>
@@ -58,6 +59,7 @@
   Duration age{ 0 };             //!< Time since the caller sent it.
   Duration patience{ 0 };        //!< The caller waits so much longer.
   std::uint32_t submissions = 0; //!< Earlier schedulers that had it.
+  EndpointsInUse usedBefore;     //!< By those schedulers, as last heard.
 };
 
 }
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -232,6 +232,9 @@
 
 void Coordinator::HeardBeat(const Beat& aBeat)
 {
+  if (aBeat.leaderToken != 0) {
+    desk_.SetInUse(aBeat.from.name, aBeat.inUse);
+  }
   Apply(election_.Heard(aBeat));
 }
 
@@ -279,6 +282,24 @@
   }
 }
 
+void Coordinator::SetListPosition(const ListPosition& aPosition,
+                                  const EndpointsInUse& aListed)
+{
+  for (const auto& scheduler : Schedulers()) {
+    scheduler->SetListPosition(aPosition, aListed);
+  }
+}
+
+void Coordinator::TellInUse()
+{
+  EndpointsInUse inUse;
+  for (const auto& scheduler : Schedulers()) {
+    inUse.Add(scheduler->InUse());
+  }
+  election_.SetInUse(inUse);
+  desk_.SetInUse(name_, inUse);
+}
+
 void Coordinator::SetCanLead(bool aCanLead, std::string_view aReason)
 {
   Apply(election_.SetCanLead(aCanLead, aReason));
@@ -297,11 +318,10 @@
 void Coordinator::Tick()
 {
   Apply(election_.Tick());
-  const bool behind = election_.IsListBehind();
   for (const auto& scheduler : Schedulers()) {
-    scheduler->SetListBehind(behind);
     Apply(*scheduler, scheduler->Tick());
   }
+  TellInUse();
   Apply(desk_.Tick());
 }
 
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -81,8 +81,23 @@
   return leader_;
 }
 
+EndpointsInUse FrontDesk::InUseOf(std::string_view aLeader) const
+{
+  const std::lock_guard<std::mutex> lock(leaderMutex_);
+  const auto found = inUse_.find(aLeader);
+  return found == inUse_.end() ? EndpointsInUse() : found->second;
+}
+
+void FrontDesk::SetInUse(std::string_view aLeader,
+                         const EndpointsInUse& aEndpoints)
+{
+  const std::lock_guard<std::mutex> lock(leaderMutex_);
+  inUse_[std::string(aLeader)] = aEndpoints;
+}
+
 void FrontDesk::HandIn(Entry& aEntry,
                        std::string_view aLeader,
+                       const EndpointsInUse& aUsed,
                        TimePoint aNow,
                        FrontEffects& aEffects)
 {
@@ -90,6 +105,7 @@
   aEntry.leader = aLeader;
   aEntry.assigned = true;
   aEntry.work.submissions += again ? 1 : 0;
+  aEntry.work.usedBefore.Add(aUsed);
   Work work = aEntry.work;
   work.age = aEntry.work.age + (aNow - aEntry.acceptedAt);
   work.patience = aEntry.deadline - aNow;
@@ -156,7 +172,7 @@
   entry.deadline = now + entry.work.patience;
   aTicket = entry.ticket = ++nextTicket_;
   if (!leader.empty()) {
-    HandIn(entry, leader, now, effects);
+    HandIn(entry, leader, EndpointsInUse(), now, effects);
   }
   return effects;
 }
@@ -205,6 +221,8 @@
 {
   FrontEffects effects;
   const std::string present = PresentLeader();
+  const bool moved = aAnswer.outcome == WorkOutcome::Moved;
+  const EndpointsInUse used = moved ? InUseOf(aLeader) : EndpointsInUse();
   const TimePoint now = clock_();
   Shard& shard = ShardOf(aAnswer.workId);
   const std::lock_guard<std::mutex> lock(shard.mutex);
@@ -213,11 +231,11 @@
     return effects; // Answered before, or another leader has it now.
   }
   Entry& entry = found->second;
-  if (aAnswer.outcome == WorkOutcome::Moved) {
+  if (moved) {
     entry.assigned = false;
     entry.unassignedSince = now;
     if (!present.empty() && present != aLeader) {
-      HandIn(entry, present, now, effects);
+      HandIn(entry, present, used, now, effects);
     }
     return effects;
   }
@@ -237,9 +255,11 @@
 FrontEffects FrontDesk::LeaderChanged(std::string_view aLeader)
 {
   FrontEffects effects;
+  InUseByLeader inUse;
   {
     const std::lock_guard<std::mutex> lock(leaderMutex_);
     leader_ = aLeader;
+    inUse = inUse_;
   }
   const TimePoint now = clock_();
   for (Shard& shard : shards_) {
@@ -248,7 +268,7 @@
       if (aLeader.empty()) {
         entry.unassignedSince = now;
       } else if (!entry.assigned || entry.leader != aLeader) {
-        HandIn(entry, aLeader, now, effects);
+        HandIn(entry, aLeader, inUse[entry.leader], now, effects);
       }
     }
   }
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -187,7 +187,6 @@
   }
   highestToken_ =
     std::max({ highestToken_, aBeat.highestToken, aBeat.leaderToken });
-  newestOfLeaders_ = std::max(newestOfLeaders_, aBeat.newestEndpoint);
   for (const Member& other : aBeat.known) {
     if (other.address != self_.address) {
       members_[other.address].member.address = other.address;
@@ -337,8 +336,7 @@
   beat.highestToken = highestToken_;
   beat.interval = aKnown.interval;
   beat.stayAway = std::max(Duration(0), awayUntil_ - now_);
-  beat.newestEndpoint =
-    token_ != 0 ? std::max(newestOfLeaders_, list_.newest) : 0;
+  beat.inUse = token_ != 0 ? inUse_ : EndpointsInUse();
   beat.shedShare = shedShare_;
   beat.canLead = canLead_ && now_ >= awayUntil_;
   beat.leaving = leaving_;
@@ -493,16 +491,10 @@
   return effects;
 }
 
-void LeaderElection::SetListPosition(const ListPosition& aPosition)
+void LeaderElection::SetInUse(const EndpointsInUse& aEndpoints)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  list_ = aPosition;
-}
-
-bool LeaderElection::IsListBehind() const
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return newestOfLeaders_ > list_.readUpTo;
+  inUse_ = aEndpoints;
 }
 
 void LeaderElection::SetShedShare(double aShare)
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint32_t kVersion = 2;
+constexpr std::uint32_t kVersion = 3;
 
 using MemberFields =
   std::tuple<std::string, std::string, std::string, double, std::uint64_t>;
@@ -24,6 +24,7 @@
                               std::int64_t,
                               std::int64_t,
                               std::uint64_t,
+                              std::uint64_t,
                               double,
                               bool,
                               bool,
@@ -48,7 +49,9 @@
                               std::int64_t,
                               std::int64_t,
                               std::int64_t,
-                              std::uint32_t>;
+                              std::uint32_t,
+                              std::uint64_t,
+                              std::uint64_t>;
 using AnswerFields = std::
   tuple<std::string, std::uint32_t, std::string, std::int64_t, std::int64_t>;
 using CancelFields = std::tuple<std::string, std::string>;
@@ -82,8 +85,9 @@
   }
   return { FieldsOf(aBeat.from),   aBeat.sequence,       aBeat.echo,
            aBeat.leaderToken,      aBeat.highestToken,   aBeat.interval.count(),
-           aBeat.stayAway.count(), aBeat.newestEndpoint, aBeat.shedShare,
-           aBeat.canLead,          aBeat.leaving,        std::move(known) };
+           aBeat.stayAway.count(), aBeat.inUse.listedBy, aBeat.inUse.leftFrom,
+           aBeat.shedShare,        aBeat.canLead,        aBeat.leaving,
+           std::move(known) };
 }
 
 Beat FromFields(const BeatFields& aFields)
@@ -100,7 +104,8 @@
            beat.highestToken,
            interval,
            stayAway,
-           beat.newestEndpoint,
+           beat.inUse.listedBy,
+           beat.inUse.leftFrom,
            beat.shedShare,
            beat.canLead,
            beat.leaving,
@@ -129,12 +134,20 @@
                        step.preferredRack,
                        step.mostPerEndpoint);
   }
-  return {
-    aWork.id,          aWork.service,          aWork.kind,
-    aWork.payload,     std::move(steps),       aWork.priority,
-    aWork.attempts,    aWork.stretch,          aWork.targetLatency.count(),
-    aWork.age.count(), aWork.patience.count(), aWork.submissions
-  };
+  return { aWork.id,
+           aWork.service,
+           aWork.kind,
+           aWork.payload,
+           std::move(steps),
+           aWork.priority,
+           aWork.attempts,
+           aWork.stretch,
+           aWork.targetLatency.count(),
+           aWork.age.count(),
+           aWork.patience.count(),
+           aWork.submissions,
+           aWork.usedBefore.listedBy,
+           aWork.usedBefore.leftFrom };
 }
 
 Work FromFields(WorkFields aFields)
@@ -155,7 +168,9 @@
            target,
            age,
            patience,
-           work.submissions) = std::move(aFields);
+           work.submissions,
+           work.usedBefore.listedBy,
+           work.usedBefore.leftFrom) = std::move(aFields);
   work.targetLatency = Duration(target);
   work.age = Duration(age);
   work.patience = Duration(patience);
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -50,7 +50,8 @@
   ListedEndpoint listed;
   bool isListed = true;
   TimePoint unlistedAt{};
-  TimePoint usableAt{}; //!< The other daemons have heard of it by then.
+  std::uint64_t leftFrom = 0; //!< It was in the list up to this, if not listed.
+  TimePoint usableAt{};       //!< The other daemons have heard of it by then.
   Resources free;
   //! Active runs of known work here.
   std::vector<std::pair<WorkEntry*, TaskEntry*>> runs;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -52,10 +52,17 @@
   return state_->IsLeading();
 }
 
-void Scheduler::SetListBehind(bool aBehind)
+void Scheduler::SetListPosition(const ListPosition& aPosition,
+                                const EndpointsInUse& aListed)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  state_->SetListBehind(aBehind);
+  state_->SetListPosition(aPosition, aListed);
+}
+
+EndpointsInUse Scheduler::InUse() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return state_->InUse();
 }
 
 SchedulerEffects Scheduler::SetEndpoints(Span<const ListedEndpoint> aEndpoints)
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -216,6 +216,23 @@
          " submissions=" + std::to_string(aEntry.Spec().submissions);
 }
 
+void SchedulerState::NoteUnknownEndpoints(const WorkEntry& aEntry,
+                                          SchedulerEffects& aEffects) const
+{
+  const EndpointsInUse& used = aEntry.Spec().usedBefore;
+  Note(aEffects,
+       "hold",
+       aEntry.Spec().id,
+       nullptr,
+       "begun",
+       "an earlier leader used endpoints that are not known");
+  aEffects.decisions.back().inputs =
+    "readFrom=" + std::to_string(position_.readFrom) +
+    " readUpTo=" + std::to_string(position_.readUpTo) +
+    " leftFrom=" + std::to_string(used.leftFrom) +
+    " listedBy=" + std::to_string(used.listedBy);
+}
+
 void SchedulerState::Admit(std::string_view aFront,
                            Work aWork,
                            SchedulerEffects& aEffects)
@@ -261,6 +278,9 @@
   works_.emplace(entry.Spec().id, std::move(owned));
   if (entry.Spec().submissions > 0) {
     entry.heldUntil = now_ + policy_.takeoverDoubt;
+    if (!position_.Covers(entry.Spec().usedBefore)) {
+      NoteUnknownEndpoints(entry, aEffects);
+    }
     wantsNewTerm_ = true;
     RequestNewTerm(aEffects);
   }
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -152,6 +152,7 @@
       Note(aEffects, "endpoint", "", &endpoint, "gone from the list");
       endpoint.isListed = false;
       endpoint.unlistedAt = now_;
+      endpoint.leftFrom = listed_.leftFrom;
     }
   }
   Dispatch(aEffects);
@@ -345,9 +346,20 @@
   aEffects.needsNewTerm = wantsNewTerm_ && now_ - ledSince_ > shortest;
 }
 
-bool SchedulerState::MayHideRuns() const
+EndpointsInUse SchedulerState::InUse() const
 {
-  if (wantsNewTerm_ || listBehind_) {
+  EndpointsInUse inUse = listed_;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.isListed && !endpoint.runs.empty()) {
+      inUse.leftFrom = std::min(inUse.leftFrom, endpoint.leftFrom);
+    }
+  }
+  return inUse;
+}
+
+bool SchedulerState::MayHideRuns(const WorkEntry& aEntry) const
+{
+  if (wantsNewTerm_ || !position_.Covers(aEntry.Spec().usedBefore)) {
     return true;
   }
   // An endpoint that is cut off leaves the list, and runs on under a leader on
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -25,7 +25,13 @@
   void Lead(std::uint64_t aFencingToken, SchedulerEffects& aEffects);
   void Yield(std::string_view aReason, SchedulerEffects& aEffects);
   bool IsLeading() const { return token_ != 0; }
-  void SetListBehind(bool aBehind) { listBehind_ = aBehind; }
+  void SetListPosition(const ListPosition& aPosition,
+                       const EndpointsInUse& aListed)
+  {
+    position_ = aPosition;
+    listed_ = aListed;
+  }
+  EndpointsInUse InUse() const;
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints,
                     SchedulerEffects& aEffects);
   void Submit(std::string_view aFront, Work aWork, SchedulerEffects& aEffects);
@@ -73,6 +79,8 @@
   //! For the log.
   std::string DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
+  void NoteUnknownEndpoints(const WorkEntry& aEntry,
+                            SchedulerEffects& aEffects) const;
   std::int64_t SizeOf(const WorkEntry& aEntry) const;
   //! Places the waiting tasks, or every so many of them.
   std::optional<TimePoint> PlaceAll(Forecast& aForecast,
@@ -163,8 +171,8 @@
             std::string_view aOutcome,
             std::string_view aDetail = {}) const;
   double FleetFailureRate() const;
-  //! Whether an endpoint may run work of another leader unseen.
-  bool MayHideRuns() const;
+  //! Whether an endpoint may run the work of another leader unseen.
+  bool MayHideRuns(const WorkEntry& aEntry) const;
   //! Asks for a new term if one is wanted and it is time.
   void RequestNewTerm(SchedulerEffects& aEffects) const;
   //! Forgets endpoints that left the list and cannot run anything.
@@ -177,7 +185,8 @@
   TimePoint ledSince_{};
   //! Work of another leader came in this term.
   bool wantsNewTerm_ = false;
-  bool listBehind_ = false; //!< Endpoints may be in use that are not listed.
+  ListPosition position_;
+  EndpointsInUse listed_; //!< Bounds on the endpoints that are listed.
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   Works works_;
   Queue queue_;
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -89,7 +89,7 @@
 void SchedulerState::TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects)
 {
   if (aEntry.heldUntil) {
-    const bool allSeen = !MayHideRuns();
+    const bool allSeen = !MayHideRuns(aEntry);
     if (allSeen || now_ >= *aEntry.heldUntil) {
       EndHold(aEntry,
               allSeen ? "all endpoints have answered"
--- a/tests/adapter/RecordsTest.cpp
+++ b/tests/adapter/RecordsTest.cpp
@@ -311,20 +311,20 @@
   EndpointRegistry registry(
     [&now] { return now; },
     [&bad](const std::string&, const std::string&) { ++bad; });
-  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint),
-                                           Record("b", kEndpoint),
-                                           Record("c", "garbage") },
-                 true,
-                 2);
+  registry.ApplyAll(std::vector<KeyedRecord>{ Record("a", kEndpoint),
+                                              Record("b", kEndpoint),
+                                              Record("c", "garbage") },
+                    2,
+                    2);
   LONGS_EQUAL(2, registry.TakeChanged()->size());
   LONGS_EQUAL(1, bad);
   CHECK_FALSE(registry.TakeChanged().has_value());
 
   // The store comes back without them, and the endpoints a second later.
-  registry.Apply(std::vector<KeyedRecord>{}, true, 3);
+  registry.ApplyAll(std::vector<KeyedRecord>{}, 3, 3);
   CHECK_FALSE(registry.TakeChanged().has_value());
   now += std::chrono::seconds(1);
-  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false, 4);
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, 4);
   LONGS_EQUAL(2, registry.TakeChanged()->size());
   now += std::chrono::seconds(2);
   LONGS_EQUAL(1, registry.TakeChanged()->size());
@@ -335,12 +335,46 @@
 {
   EndpointRegistry registry([] { return TimePoint(std::chrono::hours(1)); },
                             [](const std::string&, const std::string&) {});
-  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, true, 7);
-  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, false, 9);
+  registry.ApplyAll(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, 7, 7);
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, 9);
   LONGS_EQUAL(9, registry.Position().readUpTo);
-  LONGS_EQUAL(7, registry.Position().newest);
-  registry.Apply(std::vector<KeyedRecord>{ Record("b", kEndpoint) }, false, 10);
-  LONGS_EQUAL(10, registry.Position().newest);
+  LONGS_EQUAL(7, registry.Listed().listedBy);
+  registry.Apply(std::vector<KeyedRecord>{ Record("b", kEndpoint) }, 10);
+  LONGS_EQUAL(10, registry.Listed().listedBy);
+}
+
+// A daemon that read the list while an endpoint was missing does not know it,
+// though this one may go on using it.
+TEST(EndpointRegistry, KnowsSinceWhenItsEndpointsHaveBeenMissing)
+{
+  TimePoint now{ std::chrono::hours(1) };
+  EndpointRegistry registry([&now] { return now; },
+                            [](const std::string&, const std::string&) {});
+  registry.ApplyAll(
+    std::vector<KeyedRecord>{ Record("a", kEndpoint), Record("b", kEndpoint) },
+    6,
+    7); // In two pages.
+  LONGS_EQUAL(7, registry.Position().readFrom);
+  LONGS_EQUAL(6, registry.Position().readUpTo);
+  LONGS_EQUAL(6, registry.Listed().leftFrom);
+
+  registry.Apply(std::vector<KeyedRecord>{ Record("b", kEndpoint) }, 9);
+  registry.Apply(std::vector<KeyedRecord>{ { "a", std::nullopt } }, 12);
+  LONGS_EQUAL(9, registry.Listed().leftFrom);
+  LONGS_EQUAL(6, registry.Listed().listedBy);
+
+  // It returns before it is dropped: known to those who have read this.
+  registry.Apply(std::vector<KeyedRecord>{ Record("a", kEndpoint) }, 15);
+  LONGS_EQUAL(15, registry.Listed().leftFrom);
+  LONGS_EQUAL(15, registry.Listed().listedBy);
+
+  // It is missing again, from all keys, and is dropped.
+  registry.ApplyAll(std::vector<KeyedRecord>{ Record("b", kEndpoint) }, 20, 20);
+  LONGS_EQUAL(15, registry.Listed().leftFrom);
+  LONGS_EQUAL(20, registry.Position().readFrom);
+  now += std::chrono::seconds(3);
+  LONGS_EQUAL(1, registry.TakeChanged()->size());
+  LONGS_EQUAL(20, registry.Listed().leftFrom);
 }
 
 TEST_GROUP(PlatformSettings){};
--- a/tests/front/FrontDeskTest.cpp
+++ b/tests/front/FrontDeskTest.cpp
@@ -45,6 +45,10 @@
     answer.outcome = aOutcome;
     Note(desk_.Answered(answer, aLeader));
   }
+  void Uses(std::string_view aLeader, const EndpointsInUse& aEndpoints)
+  {
+    desk_.SetInUse(aLeader, aEndpoints);
+  }
   void Leave() { Note(desk_.CallerLeft("w", ticket)); }
   void End() { Note(desk_.EndAll("stopping")); }
   void Wait(std::int64_t aMilliseconds)
@@ -60,12 +64,14 @@
   std::uint64_t ticket = 0;
   std::string handedTo; //!< Leaders, in order.
   std::string takenFrom;
+  Work handedIn; //!< As it was last.
 
 private:
   void Note(const FrontEffects& aEffects)
   {
     for (const auto& submission : aEffects.submissions) {
       handedTo += submission.leader;
+      handedIn = submission.work;
     }
     for (const auto& cancellation : aEffects.cancellations) {
       takenFrom += cancellation.leader;
@@ -253,6 +259,27 @@
 
 TEST_GROUP(FrontDesk){};
 
+// The next leader has to know whether it knows all endpoints where an earlier
+// one may have started the work.
+TEST(FrontDesk, TellsWhichEndpointsEarlierLeadersUsed)
+{
+  Bench bench;
+  bench.Uses("a", { 4, 4 });
+  bench.Leader("a");
+  bench.Accept();
+  LONGS_EQUAL(0, bench.handedIn.usedBefore.listedBy);
+  bench.Uses("a", { 10, 5 }); // Since it has the work.
+  bench.Uses("b", { 7, 3 });
+  bench.Leader("b");
+  LONGS_EQUAL(10, bench.handedIn.usedBefore.listedBy);
+  LONGS_EQUAL(5, bench.handedIn.usedBefore.leftFrom);
+  bench.Answer("b", WorkOutcome::Moved);
+  bench.Leader("c");
+  STRCMP_EQUAL("abc", bench.handedTo.c_str());
+  LONGS_EQUAL(10, bench.handedIn.usedBefore.listedBy);
+  LONGS_EQUAL(3, bench.handedIn.usedBefore.leftFrom);
+}
+
 TEST(FrontDesk, AnswersEachCallerOnce)
 {
   for (const DeskRow& row : kDeskRows) {
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -84,13 +84,6 @@
     }
   }
 
-  void TellNewest(std::uint64_t aPosition)
-  {
-    for (Beat& beat : heard_) {
-      beat.newestEndpoint = aPosition;
-    }
-  }
-
   //! Another daemon's beats tell of ever higher tokens.
   void RaiseTokens()
   {
@@ -114,10 +107,15 @@
     for (const std::string& name : aEffects.lost) {
       lost += name;
     }
+    if (!aEffects.beats.empty()) {
+      lastBeat = aEffects.beats.back().second;
+    }
     kept_ = std::move(aEffects);
     return kept_;
   }
 
+  Beat lastBeat;
+
   LeaderElection& Election() { return election_; }
 
   bool echoes = true; //!< Whether members hear this one.
@@ -337,30 +335,20 @@
   CHECK(bench.terms - before <= 8);
 }
 
-// A leader's list may be newer than that of the next one.
-TEST(LeaderElection, KnowsWhetherItsListIsBehindTheLeaders)
+// What a daemon knows of its endpoints is of no meaning to others before it
+// starts work there.
+TEST(LeaderElection, TellsItsEndpointsWhileItLeads)
 {
-  struct ListRow
-  {
-    const char* guardsAgainst;
-    std::uint64_t told;
-    ListPosition own;
-    bool behind;
-  };
-  const ListRow rows[] = {
-    { "waiting where no endpoint is new", 10, { 12, 5 }, false },
-    { "an endpoint that only the leader knows", 10, { 9, 9 }, true },
-    { "waiting for the list as it is", 10, { 10, 3 }, false },
-  };
-  for (const ListRow& row : rows) {
-    Bench bench;
-    bench.Hear("large", 2, 7);
-    bench.TellNewest(row.told);
-    bench.Election().SetListPosition(row.own);
-    bench.Wait(1000);
-    CHECK_EQUAL_TEXT(
-      row.behind, bench.Election().IsListBehind(), row.guardsAgainst);
-  }
+  Bench bench;
+  bench.Hear("large", 2, 7);
+  bench.Election().SetInUse({ 10, 8 });
+  bench.Wait(1000);
+  LONGS_EQUAL(0, bench.lastBeat.inUse.listedBy);
+  bench.Silence();
+  bench.Wait(1000);
+  CHECK(bench.Election().IsLeading());
+  LONGS_EQUAL(10, bench.lastBeat.inUse.listedBy);
+  LONGS_EQUAL(8, bench.lastBeat.inUse.leftFrom);
 }
 
 TEST(LeaderElection, ReportsLostMembersOnce)
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -27,6 +27,7 @@
   beat.leaderToken = 9;
   beat.interval = Duration(70000);
   beat.leaving = true;
+  beat.inUse = { 11, 7 };
   beat.known.push_back({ "other", "127.0.0.1:2", "y", 2, 8 });
   return beat;
 }
@@ -46,6 +47,7 @@
   work.stretch = 1.6;
   work.patience = Duration(5);
   work.submissions = 2;
+  work.usedBefore = { 12, 6 };
   return work;
 }
 
@@ -75,6 +77,8 @@
   const Beat& beat = std::get<Beat>(*decoded);
   LONGS_EQUAL(5, beat.sequence);
   LONGS_EQUAL(70000, beat.interval.count());
+  LONGS_EQUAL(11, beat.inUse.listedBy);
+  LONGS_EQUAL(7, beat.inUse.leftFrom);
   CHECK(beat.leaving);
   STRCMP_EQUAL("other", beat.known.at(0).name.c_str());
 
@@ -83,6 +87,8 @@
   LONGS_EQUAL(14, work.payload.size());
   LONGS_EQUAL(3, work.steps.at(0).each.accelerators);
   LONGS_EQUAL(2, work.submissions);
+  LONGS_EQUAL(12, work.usedBefore.listedBy);
+  LONGS_EQUAL(6, work.usedBefore.leftFrom);
 
   WorkAnswer answer;
   answer.workId = "w";
--- a/tests/scheduler/NewTermTest.cpp
+++ b/tests/scheduler/NewTermTest.cpp
@@ -37,14 +37,19 @@
     terms = 0;
   }
 
-  void SetListBehind(bool aBehind) { scheduler_.SetListBehind(aBehind); }
+  void SetListPosition(const ListPosition& aPosition)
+  {
+    scheduler_.SetListPosition(aPosition, EndpointsInUse());
+  }
 
-  void Submit(std::uint32_t aSubmissions)
+  void Submit(std::uint32_t aSubmissions,
+              const EndpointsInUse& aUsedBefore = EndpointsInUse())
   {
     Work work;
     work.id = "w" + std::to_string(++submitted_);
     work.kind = "k";
     work.submissions = aSubmissions;
+    work.usedBefore = aUsedBefore;
     work.attempts = 1;
     work.stretch = 2;
     work.targetLatency = Ms(100);
@@ -140,24 +145,37 @@
 
 TEST_GROUP(NewTerm){};
 
-// A leader whose list of endpoints is older than its predecessor's cannot look
+// A leader that does not know all endpoints of its predecessor cannot look
 // everywhere: leases of what it does not know have to lapse.
 TEST(NewTerm, WaitsForEndpointsThatAreNotListed)
 {
-  Bench bench(4);
-  bench.SetListBehind(true);
-  bench.Submit(0);
-  bench.Submit(1);
-  bench.Wait(1200);
-  LONGS_EQUAL(1, bench.startTokens.size());
-  bench.Wait(300);
-  LONGS_EQUAL(2, bench.startTokens.size());
-  bench.Submit(1);
-  bench.Wait(100);
-  LONGS_EQUAL(2, bench.startTokens.size());
-  bench.SetListBehind(false);
-  bench.Wait(100);
-  LONGS_EQUAL(3, bench.startTokens.size());
+  struct UnknownRow
+  {
+    const char* guardsAgainst;
+    ListPosition behind;
+    ListPosition caughtUp;
+    EndpointsInUse used;
+  };
+  const UnknownRow rows[] = {
+    { "endpoints that came later", { 1, 9 }, { 1, 10 }, { 10, 10 } },
+    { "endpoints that had left before", { 9, 12 }, { 7, 12 }, { 5, 7 } },
+  };
+  for (const UnknownRow& row : rows) {
+    Bench bench(4);
+    bench.SetListPosition(row.behind);
+    bench.Submit(0, row.used);
+    bench.Submit(1, row.used);
+    bench.Wait(1200);
+    LONGS_EQUAL_TEXT(1, bench.startTokens.size(), row.guardsAgainst);
+    bench.Wait(300);
+    LONGS_EQUAL_TEXT(2, bench.startTokens.size(), row.guardsAgainst);
+    bench.Submit(1, row.used);
+    bench.Wait(100);
+    LONGS_EQUAL_TEXT(2, bench.startTokens.size(), row.guardsAgainst);
+    bench.SetListPosition(row.caughtUp);
+    bench.Wait(100);
+    LONGS_EQUAL_TEXT(3, bench.startTokens.size(), row.guardsAgainst);
+  }
 }
 
 TEST(NewTerm, ComesBeforeWorkOfAnotherLeader)
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -154,15 +154,18 @@
     const EndpointLog::Read read = log_.ReadFrom(node.readUpTo);
     node.readAt = time_.Now();
     node.readUpTo = read.end;
-    if (read.all || !read.records.empty()) {
-      node.registry->Apply(read.records, read.all, read.end);
+    if (read.all) {
+      node.registry->ApplyAll(read.records, read.end, read.end);
+    } else if (!read.records.empty()) {
+      node.registry->Apply(read.records, read.end);
     }
   }
   if (const auto endpoints = node.registry->TakeChanged()) {
     node.coordinator->SetEndpoints(*endpoints);
     node.coordinator->SetCanLead(!endpoints->empty(), "no endpoints");
   }
-  node.coordinator->SetListPosition(node.registry->Position());
+  node.coordinator->SetListPosition(node.registry->Position(),
+                                    node.registry->Listed());
 }
 
 void Cluster::ScheduleTick(std::size_t aDaemon, std::uint64_t aLife)
