Hold work that came back after another leader had it

Work that a front hands to another leader and then back to the first one was joined to the entry that the first one still had, and its waiting tasks started without a look, though the other leader may have started them. Evidence: NewTerm.ComesBeforeWorkThatAnotherLeaderHadInBetween (no new term began) and NewTerm.HoldsWorkAnewThatAnotherLeaderHadInBetween (started 1.3 s after the first submission instead of the last) failed before. Change: a submission that counts more earlier schedulers than the entry raises its run numbers, adds the bounds of their endpoints and holds the work as on its first way in, with a new term. A repeated submission without another leader in between is joined as before.

--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -216,21 +216,25 @@
          " submissions=" + std::to_string(aEntry.Spec().submissions);
 }
 
-void SchedulerState::NoteUnknownEndpoints(const WorkEntry& aEntry,
-                                          SchedulerEffects& aEffects) const
+void SchedulerState::Hold(WorkEntry& aEntry, SchedulerEffects& aEffects)
 {
+  aEntry.heldUntil = now_ + policy_.takeoverDoubt;
   const EndpointsInUse& used = aEntry.Spec().usedBefore;
-  Note(aEffects,
-       "hold",
-       aEntry.Spec().id,
-       nullptr,
-       "begun",
-       "an earlier leader used endpoints that are not known");
-  aEffects.decisions.back().inputs =
-    "readFrom=" + std::to_string(position_.readFrom) +
-    " readUpTo=" + std::to_string(position_.readUpTo) +
-    " leftFrom=" + std::to_string(used.leftFrom) +
-    " listedBy=" + std::to_string(used.listedBy);
+  if (!position_.Covers(used)) {
+    Note(aEffects,
+         "hold",
+         aEntry.Spec().id,
+         nullptr,
+         "begun",
+         "an earlier leader used endpoints that are not known");
+    aEffects.decisions.back().inputs =
+      "readFrom=" + std::to_string(position_.readFrom) +
+      " readUpTo=" + std::to_string(position_.readUpTo) +
+      " leftFrom=" + std::to_string(used.leftFrom) +
+      " listedBy=" + std::to_string(used.listedBy);
+  }
+  wantsNewTerm_ = true;
+  RequestNewTerm(aEffects);
 }
 
 void SchedulerState::Admit(std::string_view aFront,
@@ -277,12 +281,7 @@
   aEffects.decisions.back().inputs = DescribeInputs(entry);
   works_.emplace(entry.Spec().id, std::move(owned));
   if (entry.Spec().submissions > 0) {
-    entry.heldUntil = now_ + policy_.takeoverDoubt;
-    if (!position_.Covers(entry.Spec().usedBefore)) {
-      NoteUnknownEndpoints(entry, aEffects);
-    }
-    wantsNewTerm_ = true;
-    RequestNewTerm(aEffects);
+    Hold(entry, aEffects);
   }
   AdoptOrphans(entry, aEffects);
   if (entry.IsDone()) {
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -203,6 +203,10 @@
     } else {
       known->SetFront(front);
       Note(aEffects, "submit", known->Spec().id, nullptr, "joined");
+      if (aWork.submissions > known->Spec().submissions) {
+        known->AddSubmissions(aWork.submissions, aWork.usedBefore);
+        Hold(*known, aEffects);
+      }
     }
     return;
   }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -79,8 +79,8 @@
   //! For the log.
   std::string DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
-  void NoteUnknownEndpoints(const WorkEntry& aEntry,
-                            SchedulerEffects& aEffects) const;
+  //! Another leader may have started the work's tasks since it was known here.
+  void Hold(WorkEntry& aEntry, SchedulerEffects& aEffects);
   std::int64_t SizeOf(const WorkEntry& aEntry) const;
   //! Places the waiting tasks, or every so many of them.
   std::optional<TimePoint> PlaceAll(Forecast& aForecast,
--- a/src/scheduler/WorkEntry.cpp
+++ b/src/scheduler/WorkEntry.cpp
@@ -5,13 +5,18 @@
 
 namespace hemlockhaven::Detail {
 
+namespace {
+
+//! Runs of earlier schedulers have lower numbers.
+constexpr std::uint32_t kRunsAScheduler = 64;
+
+}
+
 WorkEntry::WorkEntry(std::string aFront, Work aWork, TimePoint aNow)
   : front_(std::move(aFront))
   , work_(std::move(aWork))
   , arrived_(aNow)
 {
-  // Runs of earlier schedulers have lower numbers.
-  constexpr std::uint32_t kRunsAScheduler = 64;
   std::uint32_t step = 0;
   for (const WorkStep& spec : work_.steps) {
     openTasks_.push_back(spec.count);
@@ -26,6 +31,18 @@
   }
 }
 
+void WorkEntry::AddSubmissions(std::uint32_t aSubmissions,
+                               const EndpointsInUse& aUsedBefore)
+{
+  work_.submissions = aSubmissions;
+  work_.usedBefore.Add(aUsedBefore);
+  for (TaskEntry& task : tasks_) {
+    if (!task.IsActive()) {
+      task.run = std::max(task.run, aSubmissions * kRunsAScheduler);
+    }
+  }
+}
+
 TaskEntry* WorkEntry::Find(std::uint32_t aStep, std::uint32_t aIndex)
 {
   for (TaskEntry& task : tasks_) {
--- a/src/scheduler/WorkEntry.h
+++ b/src/scheduler/WorkEntry.h
@@ -56,6 +56,9 @@
   const Work& Spec() const { return work_; }
   const std::string& Front() const { return front_; }
   void SetFront(std::string aFront) { front_ = std::move(aFront); }
+  //! Other schedulers had it too, the last of so many.
+  void AddSubmissions(std::uint32_t aSubmissions,
+                      const EndpointsInUse& aUsedBefore);
 
   std::vector<TaskEntry>& Tasks() { return tasks_; }
   const std::vector<TaskEntry>& Tasks() const { return tasks_; }
--- a/tests/scheduler/NewTermTest.cpp
+++ b/tests/scheduler/NewTermTest.cpp
@@ -26,17 +26,23 @@
   explicit Bench(int aEndpoints)
     : scheduler_(SchedulerPolicy(), [this] { return now_; })
   {
-    std::vector<ListedEndpoint> listed(static_cast<std::size_t>(aEndpoints));
-    for (std::size_t i = 0; i < listed.size(); ++i) {
-      listed[i].id = listed[i].address = "e" + std::to_string(i);
-      listed[i].capacity = { 16000, 65536, 0 };
-    }
-    Follow(scheduler_.SetEndpoints(listed));
+    List(0, aEndpoints);
     BeginTerm();
     Wait(1000);
     terms = 0;
   }
 
+  //! The endpoints from aFirst on are listed, and no others.
+  void List(int aFirst, int aCount)
+  {
+    std::vector<ListedEndpoint> listed(static_cast<std::size_t>(aCount));
+    for (ListedEndpoint& endpoint : listed) {
+      endpoint.id = endpoint.address = "e" + std::to_string(aFirst++);
+      endpoint.capacity = { 16000, 65536, 0 };
+    }
+    Follow(scheduler_.SetEndpoints(listed));
+  }
+
   void SetListPosition(const ListPosition& aPosition)
   {
     scheduler_.SetListPosition(aPosition, EndpointsInUse());
@@ -44,9 +50,16 @@
 
   void Submit(std::uint32_t aSubmissions,
               const EndpointsInUse& aUsedBefore = EndpointsInUse())
+  {
+    SubmitAs("w" + std::to_string(++submitted_), aSubmissions, aUsedBefore);
+  }
+
+  void SubmitAs(const std::string& aId,
+                std::uint32_t aSubmissions,
+                const EndpointsInUse& aUsedBefore = EndpointsInUse())
   {
     Work work;
-    work.id = "w" + std::to_string(++submitted_);
+    work.id = aId;
     work.kind = "k";
     work.submissions = aSubmissions;
     work.usedBefore = aUsedBefore;
@@ -71,6 +84,18 @@
     }
   }
 
+  //! All that runs has ended with success.
+  void EndRuns()
+  {
+    for (auto& [endpoint, runs] : running_) {
+      for (const RunKey& run : runs) {
+        ended_[endpoint].push_back(
+          { ended_[endpoint].size() + 1, run, RunEnd::Done });
+      }
+      runs.clear();
+    }
+  }
+
   int terms = 0;
   std::vector<std::uint64_t> startTokens; //!< Of each start sent.
 
@@ -112,6 +137,7 @@
       report.bornMs = 1;
       report.clockMs = ClockMs();
       report.running = running_[look.target.endpoint];
+      report.ended = ended_[look.target.endpoint];
       Follow(scheduler_.Looked(look, report));
     }
   }
@@ -120,6 +146,7 @@
   std::multimap<TimePoint, LookOrder> looks_; //!< By when they are answered.
   Scheduler scheduler_;
   std::map<std::string, std::vector<RunKey>> running_; //!< By endpoint.
+  std::map<std::string, std::vector<EndedRun>> ended_;
   std::uint64_t token_ = 0;
   int submitted_ = 0;
 };
@@ -178,6 +205,39 @@
   }
 }
 
+// Between two submissions of the same work to this leader another one may have
+// started its tasks.
+TEST(NewTerm, ComesBeforeWorkThatAnotherLeaderHadInBetween)
+{
+  constexpr int kFit = 16; // Into one endpoint.
+  Bench bench(1);
+  for (int i = 0; i <= kFit; ++i) {
+    bench.SubmitAs("full" + std::to_string(i), 0);
+  }
+  LONGS_EQUAL(kFit, bench.startTokens.size());
+  bench.Wait(100);
+  bench.SubmitAs("full" + std::to_string(kFit), 1);
+  bench.EndRuns();
+  bench.Wait(500);
+  LONGS_EQUAL(1, bench.terms);
+  LONGS_EQUAL(kFit + 1, bench.startTokens.size());
+  CHECK(bench.startTokens.back() > bench.startTokens.front());
+}
+
+TEST(NewTerm, HoldsWorkAnewThatAnotherLeaderHadInBetween)
+{
+  Bench bench(4);
+  const EndpointsInUse unknown{ 10, 10 };
+  bench.SetListPosition({ 1, 9 });
+  bench.SubmitAs("w", 1, unknown);
+  bench.Wait(1200);
+  bench.SubmitAs("w", 2, unknown);
+  bench.Wait(1200);
+  LONGS_EQUAL(0, bench.startTokens.size());
+  bench.Wait(300);
+  LONGS_EQUAL(1, bench.startTokens.size());
+}
+
 TEST(NewTerm, ComesBeforeWorkOfAnotherLeader)
 {
   for (const NewTermRow& row : kNewTermRows) {
