Tell of an endpoint that returned before work starts there

An endpoint that had been dropped and was listed again got work at once, because a scheduler remembers it for 30 s. Daemons that started in between have not heard of it for up to a beat, so that a leader that takes over in this moment does not know that it may have to look there. Evidence: NewTerm.TellsOfAnEndpointBeforeItIsUsed failed for the row of an endpoint that returned, and held for one that is new. Change: the pause of 0.45 s after an endpoint was listed applies each time.

--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -132,6 +132,8 @@
       continue;
     }
     if (!endpoint.isListed) {
+      // Daemons that started in the meantime have not heard of it.
+      endpoint.usableAt = now_ + policy_.tellEndpoint;
       Note(aEffects, "endpoint", "", &endpoint, "listed again");
     }
     if (listed.draining != endpoint.listed.draining) {
--- a/tests/scheduler/NewTermTest.cpp
+++ b/tests/scheduler/NewTermTest.cpp
@@ -168,10 +168,39 @@
   { "terms that keep a large fleet from all else", 300, 1, 40, 1, 3 },
 };
 
+struct ListedRow
+{
+  const char* guardsAgainst;
+  int first; //!< Endpoint that is listed at last; e0 was at first.
+};
+
+constexpr ListedRow kListedRows[] = {
+  { "work at an endpoint that other daemons have not read of", 1 },
+  { "work at an endpoint that returned and that they have not read of", 0 },
+};
+
 }
 
 TEST_GROUP(NewTerm){};
 
+// The next leader must have heard of each endpoint where there may be runs.
+TEST(NewTerm, TellsOfAnEndpointBeforeItIsUsed)
+{
+  for (const ListedRow& row : kListedRows) {
+    Bench bench(1);
+    bench.List(1, 0);
+    bench.Wait(5000);
+    bench.List(row.first, 1);
+    bench.Wait(400);
+    bench.Submit(0);
+    bench.Wait(20);
+    LONGS_EQUAL_TEXT(0, bench.startTokens.size(), row.guardsAgainst);
+    bench.Wait(50);
+    bench.Submit(0);
+    LONGS_EQUAL_TEXT(1, bench.startTokens.size(), row.guardsAgainst);
+  }
+}
+
 // A leader that does not know all endpoints of its predecessor cannot look
 // everywhere: leases of what it does not know have to lapse.
 TEST(NewTerm, WaitsForEndpointsThatAreNotListed)
