Let a leader that refuses work give up for a larger daemon

Cause: whoever finds the others first leads. Change: a leader that has refused a share of new work for 1 s yields if a daemon with more cores may lead, and tells the others with its next tick. Daemons of the same size do not pass the lead around.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -44,6 +44,9 @@
   //! Pause before endpoints are taken back a second time in a row, doubled each
   //! time: another leader shows up within a few beats.
   Duration retakePause{ 40000 };
+  //! A leader that refuses work for want of its own processor for so long gives
+  //! up for a larger daemon: twice as long as the share takes to settle.
+  Duration busy{ 1000000 };
   //! Daemons that may follow a leader, in order of preference.
   std::size_t successors = 3;
   //! Up to so many members all beat fast, and any number of them may lead.
@@ -160,6 +163,8 @@
   void SetLeader(const std::string& aName, ElectionEffects& aEffects);
   Beat MakeBeat(const Known& aKnown) const;
   bool IsPreferred() const;
+  //! Whether this leader refuses work that a larger daemon could take.
+  bool IsOutgrown() const;
 
   mutable std::mutex mutex_;
   Member self_;
@@ -174,6 +179,7 @@
   std::uint64_t highestToken_ = 0;
   EndpointsInUse inUse_;
   double shedShare_ = 0;
+  std::optional<TimePoint> sheddingSince_;
   std::string leader_;
   TimePoint leaderlessSince_;
   TimePoint tickedAt_;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -360,6 +360,19 @@
     });
 }
 
+bool LeaderElection::IsOutgrown() const
+{
+  if (!sheddingSince_ || now_ - *sheddingSince_ < times_.busy) {
+    return false;
+  }
+  return std::any_of(
+    members_.begin(), members_.end(), [this](const auto& aPair) {
+      const Known& known = aPair.second;
+      return IsAlive(known) && known.last.canLead && !known.last.leaving &&
+             known.member.cores > self_.cores;
+    });
+}
+
 void LeaderElection::SetLeader(const std::string& aName,
                                ElectionEffects& aEffects)
 {
@@ -431,6 +444,13 @@
       StepDown("lost most other members", aEffects);
       return;
     }
+    if (IsOutgrown()) {
+      StepDown("a larger daemon can take the load", aEffects);
+      for (auto& [address, known] : members_) {
+        known.beatAt = TimePoint(); // All hear of it with the next tick.
+      }
+      return;
+    }
     // Includes the tokens of leaders that have yielded since. Each new token
     // means a look at each endpoint, so that leaders must not outbid each
     // other with each beat.
@@ -501,6 +521,11 @@
 {
   const std::lock_guard<std::mutex> lock(mutex_);
   shedShare_ = aShare;
+  if (aShare <= 0) {
+    sheddingSince_.reset();
+  } else if (!sheddingSince_) {
+    sheddingSince_ = clock_();
+  }
 }
 
 double LeaderElection::LeaderShedShare() const
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -260,6 +260,56 @@
     },
     "self",
     true },
+  { "refusing work for want of a processor while a larger daemon is idle",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("large", 2, 0);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(1500);
+    },
+    "",
+    false },
+  { "a new leader without need",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("large", 2, 0);
+      aBench.Wait(3000);
+    },
+    "self",
+    true },
+  { "a new leader after a moment's load",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("large", 2, 0);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(500);
+      aBench.Election().SetShedShare(0);
+      aBench.Wait(500);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(700);
+    },
+    "self",
+    true },
+  { "passing the lead around among daemons that are no larger",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("equal", 1, 0);
+      aBench.Hear("small", 0.5, 0);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(3000);
+    },
+    "self",
+    true },
+  { "no leader at all while the larger daemon may not lead",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Hear("large", 2, 0);
+      aBench.HearFenced(0);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(3000);
+    },
+    "self",
+    true },
   { "leading while it stops",
     [](Bench& aBench) {
       aBench.Wait(1000);
