Keep the bounds of a leader's endpoints as they were when it led

Work whose front lost its leader waits for the next one, and took the bounds along at the hand-in: by then the front may itself be the leader that yielded, whose scheduler has forgotten its runs and whose list has gone on, so that an endpoint with a run was outside of the bounds. The next leader looked at all that it knew and started the task again. UnknownEndpoints missed it because its long tasks come from two daemons only. Change: a front adds the bounds to its work at the moment when the leader is lost or gives the work back.

--- a/include/hemlockhaven/front/FrontDesk.h
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -137,10 +137,8 @@
 
   Shard& ShardOf(std::string_view aWorkId);
   const Shard& ShardOf(std::string_view aWorkId) const;
-  //! aUsed: endpoints of the leader that had it last.
   void HandIn(Entry& aEntry,
               std::string_view aLeader,
-              const EndpointsInUse& aUsed,
               TimePoint aNow,
               FrontEffects& aEffects);
   static void Finish(Shard& aShard,
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -97,7 +97,6 @@
 
 void FrontDesk::HandIn(Entry& aEntry,
                        std::string_view aLeader,
-                       const EndpointsInUse& aUsed,
                        TimePoint aNow,
                        FrontEffects& aEffects)
 {
@@ -105,7 +104,6 @@
   aEntry.leader = aLeader;
   aEntry.assigned = true;
   aEntry.work.submissions += again ? 1 : 0;
-  aEntry.work.usedBefore.Add(aUsed);
   Work work = aEntry.work;
   work.age = aEntry.work.age + (aNow - aEntry.acceptedAt);
   work.patience = aEntry.deadline - aNow;
@@ -172,7 +170,7 @@
   entry.deadline = now + entry.work.patience;
   aTicket = entry.ticket = ++nextTicket_;
   if (!leader.empty()) {
-    HandIn(entry, leader, EndpointsInUse(), now, effects);
+    HandIn(entry, leader, now, effects);
   }
   return effects;
 }
@@ -234,8 +232,9 @@
   if (moved) {
     entry.assigned = false;
     entry.unassignedSince = now;
+    entry.work.usedBefore.Add(used);
     if (!present.empty() && present != aLeader) {
-      HandIn(entry, present, used, now, effects);
+      HandIn(entry, present, now, effects);
     }
     return effects;
   }
@@ -265,10 +264,14 @@
   for (Shard& shard : shards_) {
     const std::lock_guard<std::mutex> lock(shard.mutex);
     for (auto& [id, entry] : shard.entries) {
+      if (!entry.leader.empty() && entry.leader != aLeader) {
+        // As of now: once it does not lead, its bounds leave its runs out.
+        entry.work.usedBefore.Add(inUse[entry.leader]);
+      }
       if (aLeader.empty()) {
         entry.unassignedSince = now;
       } else if (!entry.assigned || entry.leader != aLeader) {
-        HandIn(entry, aLeader, inUse[entry.leader], now, effects);
+        HandIn(entry, aLeader, now, effects);
       }
     }
   }
--- /dev/null
+++ b/tests/coordinator/UnseenRunsTest.cpp
@@ -0,0 +1,305 @@
+// Ways in which a leader may still conclude from its looks that a task runs
+// nowhere, though an earlier leader runs it at an endpoint unknown to it.
+#include "support/Cluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace hemlockhaven;
+using namespace hemlockhaven::Testing;
+
+namespace {
+
+constexpr Duration kSecond{ 1000000 };
+constexpr std::size_t kDaemons = 6;
+constexpr std::size_t kZones = 3;
+constexpr std::size_t kEndpoints = 12;
+
+//! Cuts each zone off in turn for so long; its entries expire meanwhile and
+//! return 1.8 s after the cut ends, within the two seconds of the protocol.
+void CutZones(Cluster& aCluster, Duration aCut)
+{
+  for (std::size_t zone = 0; zone < kZones; ++zone) {
+    aCluster.CutZone(zone, true);
+    aCluster.Time().RunFor(2 * kSecond);
+    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
+      aCluster.ExpireEntry(i);
+    }
+    aCluster.Time().RunFor(aCut - 2 * kSecond);
+    aCluster.CutZone(zone, false);
+    aCluster.Time().RunFor(Duration(1800000));
+    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
+      aCluster.PutEntry(i);
+    }
+    aCluster.Time().RunFor(2 * kSecond);
+  }
+}
+
+//! The incident as in UnknownEndpoints.
+void CutZonesWithLateLinks(Cluster& aCluster)
+{
+  for (std::size_t zone = 0; zone < kZones; ++zone) {
+    aCluster.CutZone(zone, true);
+    aCluster.Time().RunFor(2 * kSecond);
+    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
+      aCluster.ExpireEntry(i);
+    }
+    for (std::size_t i = zone; i < kDaemons; i += kZones) {
+      aCluster.Kill(i);
+      aCluster.Restart(i);
+    }
+    aCluster.Time().RunFor(2 * kSecond);
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < kDaemons; ++i) {
+      if (aCluster.IsLeading(i) && i % kZones != zone) {
+        others.push_back(i);
+        aCluster.CutLinks(i, true);
+      }
+    }
+    aCluster.CutZone(zone, false);
+    aCluster.Time().RunFor(Duration(700000));
+    for (const std::size_t other : others) {
+      aCluster.CutLinks(other, false);
+    }
+    aCluster.Time().RunFor(Duration(500000));
+    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
+      aCluster.PutEntry(i);
+    }
+    aCluster.Time().RunFor(kSecond);
+  }
+}
+
+struct UnseenRow
+{
+  const char* guardsAgainst;
+  std::function<void(Cluster&)> fault;
+  int works;
+  std::vector<std::uint64_t> seeds;
+};
+
+const UnseenRow kRows[] = {
+  { "endpoints that are remembered while another leader used them",
+    [](Cluster& aCluster) { CutZones(aCluster, 8 * kSecond); },
+    1400,
+    { 1, 2, 3 } },
+  { "runs of a leader that yields, whose own callers' work waits for the next",
+    CutZonesWithLateLinks,
+    400,
+    { 49, 52 } },
+};
+
+Work MakeWork(int aNumber)
+{
+  const bool isLong = aNumber % 3 == 0;
+  Work work;
+  work.kind = isLong ? "long" : "w";
+  work.id = work.kind + std::to_string(aNumber);
+  WorkStep step;
+  step.count = isLong ? 1 : 2;
+  step.each = { isLong ? 2000 : 6000, 64, 0 };
+  step.estimate = Duration(isLong ? 1500000 : 100000);
+  work.steps.push_back(step);
+  work.attempts = 3;
+  work.stretch = 1.6;
+  work.targetLatency = Duration(60000);
+  work.patience = 6 * kSecond;
+  return work;
+}
+
+std::string Play(const UnseenRow& aRow, std::uint64_t aSeed)
+{
+  Cluster::Options options;
+  options.daemons = kDaemons;
+  options.zones = kZones;
+  options.endpoints = kEndpoints;
+  options.speeds = { 0.6, 1.0, 1.4 };
+  options.seed = aSeed;
+  options.readsList = true;
+  Cluster cluster(options);
+  cluster.work = [](const TaskKey& aTask) {
+    const bool isLong = aTask.workId.rfind("long", 0) == 0;
+    return Duration(isLong ? 1500000 : 100000);
+  };
+  for (int i = 0; i < aRow.works; ++i) {
+    cluster.Time().After(i * Duration(25000), [&cluster, i] {
+      // Each daemon gets work of both kinds.
+      cluster.Submit(static_cast<std::size_t>(i / 3) % kDaemons, MakeWork(i));
+    });
+  }
+  cluster.Time().RunFor(kSecond);
+  aRow.fault(cluster);
+  cluster.Time().RunFor(10 * kSecond);
+  std::string ids;
+  for (const std::string& id : cluster.Doubled()) {
+    ids += " " + id;
+  }
+  return ids.empty() ? ""
+                     : std::string(aRow.guardsAgainst) + ", seed " +
+                         std::to_string(aSeed) + ", ran twice" + ids + "\n";
+}
+
+}
+
+TEST_GROUP(UnseenRuns){};
+
+TEST(UnseenRuns, RunsNoTaskTwice)
+{
+  std::string broken;
+  for (const UnseenRow& row : kRows) {
+    for (const std::uint64_t seed : row.seeds) {
+      broken += Play(row, seed);
+    }
+  }
+  STRCMP_EQUAL("", broken.c_str());
+}
+
+namespace {
+
+//! One daemon that leads with one endpoint, and what it hands on.
+class OneDaemon
+{
+public:
+  OneDaemon()
+  {
+    CoordinatorHooks hooks;
+    hooks.sendBeat = [this](const Member&, const Beat& aBeat) {
+      lastBeat = aBeat;
+    };
+    hooks.sendWork = [this](std::string_view, const Work& aWork) {
+      handedIn.push_back(aWork);
+    };
+    hooks.sendAnswer = [](auto, const auto&) {};
+    hooks.sendCancel = [](auto, auto, auto) {};
+    hooks.start = [this](const StartOrder& aOrder, auto aDone) {
+      runs_.push_back(aOrder.run);
+      aDone({ OrderOutcome::Accepted, ClockMs() });
+    };
+    hooks.stop = [](const StopOrder&, auto) {};
+    hooks.look = [this](const LookOrder&, auto aDone) {
+      looks_.push_back(aDone);
+    };
+    hooks.note = [](const Decision&) {};
+    coordinator = std::make_unique<Coordinator>(
+      Member{ "self", "self", "a", 1, 1 },
+      SchedulerPolicy(),
+      ElectionTimes(),
+      hooks,
+      [this] { return now_; },
+      [] { return std::int64_t{ 1700000000000 }; });
+    coordinator->SetCanLead(true, "");
+    Member other;
+    other.address = "next";
+    coordinator->Meet(other);
+  }
+
+  void Wait(std::int64_t aMilliseconds)
+  {
+    for (std::int64_t gone = 0; gone < aMilliseconds; gone += 25) {
+      now_ += std::chrono::milliseconds(25);
+      auto looks = std::move(looks_);
+      looks_.clear();
+      for (const auto& done : looks) {
+        LookResult result;
+        result.outcome = OrderOutcome::Accepted;
+        result.report.bornMs = 1;
+        result.report.clockMs = ClockMs();
+        result.report.running = runs_;
+        done(result);
+      }
+      coordinator->SetListPosition(position, listed);
+      coordinator->Tick();
+    }
+  }
+
+  void List(bool aIsListed)
+  {
+    std::vector<ListedEndpoint> endpoints(aIsListed ? 1 : 0);
+    for (ListedEndpoint& endpoint : endpoints) {
+      endpoint.id = endpoint.address = "e0";
+      endpoint.service = "s";
+      endpoint.capacity = { 16000, 65536, 0 };
+    }
+    coordinator->SetEndpoints(endpoints);
+  }
+
+  void HearLeader()
+  {
+    Beat beat;
+    beat.from = { "next", "next", "a", 2, 1 };
+    beat.canLead = true;
+    beat.sequence = ++heard_;
+    coordinator->HeardBeat(beat);
+    Wait(25);
+    beat.sequence = ++heard_;
+    beat.echo = lastBeat.sequence;
+    beat.leaderToken = std::uint64_t{ 1800000000 } << 16U;
+    coordinator->HeardBeat(beat);
+  }
+
+  std::unique_ptr<Coordinator> coordinator;
+  ListPosition position{ 1, 10 };
+  EndpointsInUse listed{ 5, 10 };
+  std::vector<Work> handedIn;
+  Beat lastBeat;
+
+private:
+  std::int64_t ClockMs() const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now_.time_since_epoch())
+      .count();
+  }
+
+  TimePoint now_{ std::chrono::hours(1) };
+  std::vector<RunKey> runs_;
+  std::vector<std::function<void(LookResult)>> looks_;
+  std::uint64_t heard_ = 0;
+};
+
+}
+
+// The runs of a leader that yields go on at an endpoint that has left the list,
+// while its own callers' work waits for the next leader.
+TEST(UnseenRuns, TellsTheNextLeaderOfEndpointsThatHadLeftTheList)
+{
+  for (const std::int64_t leaderlessMs : { 0, 100 }) {
+    OneDaemon daemon;
+    daemon.List(true);
+    daemon.Wait(1500);
+    CHECK(daemon.coordinator->IsLeading());
+    Work work;
+    work.id = "w";
+    work.service = "s";
+    work.kind = "k";
+    work.attempts = 1;
+    work.stretch = 2;
+    work.targetLatency = Duration(100000);
+    work.patience = 9 * kSecond;
+    WorkStep step;
+    step.count = 1;
+    step.each = { 1000, 64, 0 };
+    step.estimate = 3 * kSecond;
+    work.steps.push_back(step);
+    daemon.coordinator->Accept(work, [](const CallerAnswer&) {});
+    daemon.Wait(100);
+    LONGS_EQUAL(1, daemon.coordinator->Load().activeRuns);
+    // Its entry expires at 10 and is dropped; the list goes on to 20.
+    daemon.List(false);
+    daemon.position = { 1, 20 };
+    daemon.listed = { 5, 20 };
+    daemon.Wait(100);
+    LONGS_EQUAL(1, daemon.coordinator->Load().activeRuns);
+    LONGS_EQUAL(10, daemon.lastBeat.inUse.leftFrom);
+    daemon.coordinator->SetCanLead(false, "events wait too long");
+    daemon.Wait(leaderlessMs);
+    daemon.HearLeader();
+    LONGS_EQUAL(1, daemon.handedIn.size());
+    LONGS_EQUAL(1, daemon.handedIn[0].submissions);
+    LONGS_EQUAL(10, daemon.handedIn[0].usedBefore.leftFrom);
+  }
+}
