Do not count a forgotten endpoint as known

A scheduler forgets an endpoint 30 s after it left the list, and went on taking its list for complete since the first read. After a cut of more than about 35 s a leader on the other side may still use such an endpoint, whose entry comes back up to 2 s later. Change: an endpoint that is forgotten raises the position from which the list is known to where that endpoint had certainly left it.

--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -50,8 +50,10 @@
   ListedEndpoint listed;
   bool isListed = true;
   TimePoint unlistedAt{};
-  std::uint64_t leftFrom = 0; //!< It was in the list up to this, if not listed.
-  TimePoint usableAt{};       //!< The other daemons have heard of it by then.
+  // Bounds on where it left the list, if it is not listed.
+  std::uint64_t leftFrom = 0;
+  std::uint64_t leftBy = 0;
+  TimePoint usableAt{}; //!< The other daemons have heard of it by then.
   Resources free;
   //! Active runs of known work here.
   std::vector<std::pair<WorkEntry*, TaskEntry*>> runs;
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -220,7 +220,7 @@
 {
   aEntry.heldUntil = now_ + policy_.takeoverDoubt;
   const EndpointsInUse& used = aEntry.Spec().usedBefore;
-  if (!position_.Covers(used)) {
+  if (!KnowsAll(used)) {
     Note(aEffects,
          "hold",
          aEntry.Spec().id,
@@ -229,6 +229,7 @@
          "an earlier leader used endpoints that are not known");
     aEffects.decisions.back().inputs =
       "readFrom=" + std::to_string(position_.readFrom) +
+      " forgotUpTo=" + std::to_string(forgotUpTo_) +
       " readUpTo=" + std::to_string(position_.readUpTo) +
       " leftFrom=" + std::to_string(used.leftFrom) +
       " listedBy=" + std::to_string(used.listedBy);
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -155,6 +155,7 @@
       endpoint.isListed = false;
       endpoint.unlistedAt = now_;
       endpoint.leftFrom = listed_.leftFrom;
+      endpoint.leftBy = position_.readUpTo;
     }
   }
   Dispatch(aEffects);
@@ -363,9 +364,16 @@
   return inUse;
 }
 
+bool SchedulerState::KnowsAll(const EndpointsInUse& aEndpoints) const
+{
+  ListPosition known = position_;
+  known.readFrom = std::max(known.readFrom, forgotUpTo_);
+  return known.Covers(aEndpoints);
+}
+
 bool SchedulerState::MayHideRuns(const WorkEntry& aEntry) const
 {
-  if (wantsNewTerm_ || !position_.Covers(aEntry.Spec().usedBefore)) {
+  if (wantsNewTerm_ || !KnowsAll(aEntry.Spec().usedBefore)) {
     return true;
   }
   // An endpoint that is cut off leaves the list, and runs on under a leader on
@@ -383,6 +391,9 @@
     const bool over = !endpoint.isListed && endpoint.runs.empty() &&
                       endpoint.orphans.empty() &&
                       now_ - endpoint.unlistedAt > policy_.forgetEndpoint;
+    if (over) {
+      forgotUpTo_ = std::max(forgotUpTo_, endpoint.leftBy);
+    }
     entry = over ? endpoints_.erase(entry) : std::next(entry);
   }
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -171,6 +171,8 @@
             std::string_view aOutcome,
             std::string_view aDetail = {}) const;
   double FleetFailureRate() const;
+  //! Whether all of these endpoints are known here.
+  bool KnowsAll(const EndpointsInUse& aEndpoints) const;
   //! Whether an endpoint may run the work of another leader unseen.
   bool MayHideRuns(const WorkEntry& aEntry) const;
   //! Asks for a new term if one is wanted and it is time.
@@ -186,7 +188,8 @@
   //! Work of another leader came in this term.
   bool wantsNewTerm_ = false;
   ListPosition position_;
-  EndpointsInUse listed_; //!< Bounds on the endpoints that are listed.
+  EndpointsInUse listed_;        //!< Bounds on the endpoints that are listed.
+  std::uint64_t forgotUpTo_ = 0; //!< Endpoints that had left by then.
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   Works works_;
   Queue queue_;
