Give up only for a larger daemon that has been heard for a second

A daemon says that it may lead as soon as it knows an endpoint, and waits for others for half a second after its start; a busy leader that yielded to it at once left nobody leading meanwhile. Found by the review; the new row of LeaderElection.ChoosesOneLeader failed before.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -45,7 +45,8 @@
   //! time: another leader shows up within a few beats.
   Duration retakePause{ 40000 };
   //! A leader that refuses work for want of its own processor for so long gives
-  //! up for a larger daemon: twice as long as the share takes to settle.
+  //! up for a larger daemon that it has heard for as long: twice the time that
+  //! the share takes to settle, or a daemon to find others after its start.
   Duration busy{ 1000000 };
   //! Daemons that may follow a leader, in order of preference.
   std::size_t successors = 3;
@@ -130,6 +131,7 @@
     bool alive = false;
     bool gone = false; //!< Its link ended; not only silent.
     TimePoint heardAt{};
+    TimePoint aliveSince{};
     TimePoint lostAt{}; //!< What was heard before does not count any more.
     std::uint64_t heardSequence = 0;
     Beat last;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -194,6 +194,7 @@
   }
   if (!known.alive && IsAlive(known)) {
     known.alive = true;
+    known.aliveSince = now_;
     effects.joined.push_back(known.member.name);
   }
   if (aBeat.stayAway > Duration(0) && !HasMajority()) {
@@ -368,7 +369,8 @@
   return std::any_of(
     members_.begin(), members_.end(), [this](const auto& aPair) {
       const Known& known = aPair.second;
-      return IsAlive(known) && known.last.canLead && !known.last.leaving &&
+      return IsAlive(known) && now_ - known.aliveSince >= times_.busy &&
+             known.last.canLead && !known.last.leaving &&
              known.member.cores > self_.cores;
     });
 }
@@ -486,6 +488,7 @@
       Lose(known, effects);
     } else if (!known.alive && IsAlive(known)) {
       known.alive = true;
+      known.aliveSince = now_;
       effects.joined.push_back(known.member.name);
     }
   }
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -269,6 +269,16 @@
     },
     "",
     false },
+  { "giving up for a larger daemon that has only just come",
+    [](Bench& aBench) {
+      aBench.Wait(1000);
+      aBench.Election().SetShedShare(0.5);
+      aBench.Wait(2000);
+      aBench.Hear("large", 2, 0);
+      aBench.Wait(500);
+    },
+    "self",
+    true },
   { "a new leader without need",
     [](Bench& aBench) {
       aBench.Wait(1000);
