Let the soak expire the entries of endpoints that live

No fault of the soak made such entries expire; endpoints left the list only when they were killed. Change: a fault lets the entries of a drawn share of the endpoints expire for 0.2 to 4.5 s. In half of the cases daemons that do not lead are killed and started at once in the middle of it, and in half of these the leader is killed 0.1 to 1.5 s later. The leader is the one that last logged that it takes over: killing any of the five would rarely hit it. Endpoints and daemons that another fault works on are left out, so that no drain ends early and no killed endpoint is listed.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -35,16 +35,16 @@
 
 void FaultPlan::BeginNext(TimePoint aUntil)
 {
-  static constexpr std::array<Begin, 17> kFaults{
-    &FaultPlan::KillDaemon,         &FaultPlan::StopDaemon,
-    &FaultPlan::StopDaemon,         &FaultPlan::PauseDaemon,
-    &FaultPlan::HangUpDaemon,       &FaultPlan::KillAllDaemons,
-    &FaultPlan::DisturbLinks,       &FaultPlan::DisturbLinks,
-    &FaultPlan::ResetLinks,         &FaultPlan::KillEndpoint,
-    &FaultPlan::PauseEndpoint,      &FaultPlan::DisturbEndpoint,
-    &FaultPlan::DisturbEndpoint,    &FaultPlan::DrainEndpoint,
-    &FaultPlan::DisturbStore,       &FaultPlan::CutStore,
-    &FaultPlan::ChangeConfiguration
+  static constexpr std::array<Begin, 18> kFaults{
+    &FaultPlan::KillDaemon,          &FaultPlan::StopDaemon,
+    &FaultPlan::StopDaemon,          &FaultPlan::PauseDaemon,
+    &FaultPlan::HangUpDaemon,        &FaultPlan::KillAllDaemons,
+    &FaultPlan::DisturbLinks,        &FaultPlan::DisturbLinks,
+    &FaultPlan::ResetLinks,          &FaultPlan::KillEndpoint,
+    &FaultPlan::PauseEndpoint,       &FaultPlan::DisturbEndpoint,
+    &FaultPlan::DisturbEndpoint,     &FaultPlan::DrainEndpoint,
+    &FaultPlan::DisturbStore,        &FaultPlan::CutStore,
+    &FaultPlan::ChangeConfiguration, &FaultPlan::ExpireEntries
   };
   if (SteadyNow() >= aUntil) {
     isOver_ = true;
@@ -114,16 +114,21 @@
 void FaultPlan::KillDaemon()
 {
   if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
-    Note("kill daemon " + std::to_string(*daemon));
-    ledger_.Disturbed(*daemon, SteadyNow());
-    fleet_.SignalDaemon(*daemon, SIGKILL);
-    After(Between(100, 2500), [this, daemon] {
-      fleet_.StartDaemon(*daemon);
-      takenDaemons_.erase(*daemon);
-    });
+    Kill(*daemon, Between(100, 2500));
   }
 }
 
+void FaultPlan::Kill(std::size_t aDaemon, Duration aStartAfter)
+{
+  Note("kill daemon " + std::to_string(aDaemon));
+  ledger_.Disturbed(aDaemon, SteadyNow());
+  fleet_.SignalDaemon(aDaemon, SIGKILL);
+  After(aStartAfter, [this, aDaemon] {
+    fleet_.StartDaemon(aDaemon);
+    takenDaemons_.erase(aDaemon);
+  });
+}
+
 void FaultPlan::StopDaemon()
 {
   if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
@@ -252,6 +257,56 @@
   }
 }
 
+void FaultPlan::ExpireEntries()
+{
+  const std::size_t tenths = 1 + Pick(10);
+  std::string expired;
+  for (std::size_t endpoint = 0; endpoint < fleet_.Endpoints(); ++endpoint) {
+    // Listing an endpoint again that another fault works on would list a dead
+    // one, or end a drain.
+    if (Pick(10) < tenths && takenEndpoints_.insert(endpoint).second) {
+      expired += " " + std::to_string(endpoint);
+      fleet_.Unlist(endpoint);
+      After(Between(200, 4500), [this, endpoint] {
+        fleet_.List(endpoint, false);
+        takenEndpoints_.erase(endpoint);
+      });
+    }
+  }
+  Note("expire the entries of endpoints" + expired);
+  if (Pick(2) == 0) {
+    return;
+  }
+  // Drawn now: draws in later events would depend on the machine's timing.
+  const Duration restart = Between(100, 1500);
+  const std::uint64_t daemonBits = dice_.Next();
+  After(restart, [this, daemonBits] { RestartFollowers(daemonBits); });
+  if (Pick(2) == 0) {
+    const Duration kill = restart + Between(100, 1500);
+    const Duration startAfter = Between(100, 2500);
+    After(kill, [this, startAfter] {
+      const auto leader = fleet_.Leader();
+      if (leader && takenDaemons_.insert(*leader).second) {
+        Kill(*leader, startAfter);
+      }
+    });
+  }
+}
+
+void FaultPlan::RestartFollowers(std::uint64_t aDaemonBits)
+{
+  const auto leader = fleet_.Leader();
+  for (std::size_t daemon = 0; daemon < fleet_.Daemons(); ++daemon) {
+    const bool isDrawn = (aDaemonBits >> daemon & 1U) != 0;
+    if (isDrawn && daemon != leader && takenDaemons_.count(daemon) == 0) {
+      Note("restart daemon " + std::to_string(daemon));
+      ledger_.Disturbed(daemon, SteadyNow());
+      fleet_.SignalDaemon(daemon, SIGKILL);
+      fleet_.StartDaemon(daemon);
+    }
+  }
+}
+
 void FaultPlan::DisturbStore()
 {
   static constexpr std::array<StoreStandIn::Mode, 3> kModes{
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -46,6 +46,8 @@
   std::optional<std::size_t> Take(std::set<std::size_t>& aTaken,
                                   std::size_t aCount);
   ProxyFault DrawProxyFault();
+  //! Kills a daemon that was taken; it is started after so long.
+  void Kill(std::size_t aDaemon, Duration aStartAfter);
 
   void KillDaemon();
   void StopDaemon();
@@ -58,6 +60,9 @@
   void PauseEndpoint();
   void DisturbEndpoint();
   void DrainEndpoint();
+  void ExpireEntries();
+  //! Kills those of these daemons that do not lead, and starts them at once.
+  void RestartFollowers(std::uint64_t aDaemonBits);
   void DisturbStore();
   void CutStore();
   void ChangeConfiguration();
--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -87,6 +87,12 @@
   return Ip(kDaemonGroup, aDaemon) + ":" + std::to_string(kCallerPort);
 }
 
+std::string Fleet::LogFile(std::size_t aDaemon) const
+{
+  return options_.folder + "/daemon-" + std::to_string(aDaemon) + "." +
+         std::to_string(daemons_[aDaemon].lives) + ".log";
+}
+
 void Fleet::StartDaemon(std::size_t aDaemon)
 {
   DaemonSlot& slot = daemons_[aDaemon];
@@ -113,11 +119,12 @@
     { "metricsPort", kMetricsPort },
     { "logLevel", "info" },
   };
-  const std::string base =
-    options_.folder + "/daemon-" + std::to_string(aDaemon);
-  std::ofstream(base + ".json") << settings.dump(1);
-  logFiles_.push_back(base + "." + std::to_string(++slot.lives) + ".log");
-  const std::vector<std::string> arguments{ "--settings", base + ".json" };
+  const std::string settingsFile =
+    options_.folder + "/daemon-" + std::to_string(aDaemon) + ".json";
+  std::ofstream(settingsFile) << settings.dump(1);
+  ++slot.lives;
+  logFiles_.push_back(LogFile(aDaemon));
+  const std::vector<std::string> arguments{ "--settings", settingsFile };
   slot.process.reset(); // The one before has ended, or is killed here.
   slot.process = std::make_unique<Testing::Process>(
     options_.daemonProgram, arguments, logFiles_.back());
@@ -133,6 +140,27 @@
   return daemons_[aDaemon].process->GetExitCode();
 }
 
+std::optional<std::size_t> Fleet::Leader() const
+{
+  std::optional<std::size_t> leader;
+  std::string latest;
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    std::ifstream file(LogFile(i));
+    for (std::string line; std::getline(file, line);) {
+      if (line.find(R"("step":"lead")") == std::string::npos) {
+        continue;
+      }
+      const json record = json::parse(line, nullptr, false);
+      if (record.is_object() && record.value("message", "") == "taking over" &&
+          record.value("time", "") > latest) {
+        latest = record.value("time", "");
+        leader = i;
+      }
+    }
+  }
+  return leader;
+}
+
 void Fleet::StartEndpoint(std::size_t aEndpoint)
 {
   EndpointSlot& slot = endpoints_[aEndpoint];
--- a/soak/Fleet.h
+++ b/soak/Fleet.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,8 @@
   void SignalDaemon(std::size_t aDaemon, int aSignal);
   //! The exit code if the daemon's process has ended.
   std::optional<int> DaemonExit(std::size_t aDaemon);
+  //! The daemon that began the latest term, by the running daemons' logs.
+  std::optional<std::size_t> Leader() const;
 
   void StartEndpoint(std::size_t aEndpoint);
   void KillEndpoint(std::size_t aEndpoint);
@@ -95,6 +98,8 @@
   };
 
   std::string Ip(unsigned aGroup, std::size_t aNumber) const;
+  //! The log of the daemon's current process.
+  std::string LogFile(std::size_t aDaemon) const;
   FaultProxy::Address At(unsigned aGroup,
                          std::size_t aNumber,
                          std::uint16_t aPort) const;
