Play random sequences of faults on the cluster in virtual time

Cause: UnknownEndpoints plays five fixed sequences, so that only faults that somebody thought of are covered. Change: coordinator.RandomFaults draws 10 s of faults from a seed, one each 0.1 to 1 s, of about two thirds of eleven kinds for each seed. It checks that no task runs twice, that one leader is left, and that all work that is sent from 2 s after the last fault on is completed. The work of both tests comes from tests/support/SteadyWork. Figures: seeds 1 to 1200 by hand, 18 broke: 4 ran tasks twice, 14 refused new work. Each is listed in KNOWN-RED.txt by its cause, with a group for each cause, since the scripts pass over whole groups: - 543, 902, 1055: a leader admits work from a front that it lost before; - 1072: a leader that yields forgets its runs at endpoints off the list; - 12 seeds: daemons stay away although a majority hears each other; - 566, 852: first new work refused as late; cause not found. Ruled out: an artefact of the pause. A paused daemon reads what arrived in the meantime, as a process with filled socket buffers does, and in 543 and 1072 the frame was not sent during a pause. UnknownEndpoints passes as before. No product code was changed.

--- /dev/null
+++ b/tests/coordinator/RandomFaultsTest.cpp
@@ -0,0 +1,374 @@
+// Faults in an order that nobody thought of must neither run a task twice nor
+// leave the cluster without one leader that completes new work.
+#include "support/Cluster.h"
+#include "support/SteadyWork.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace hemlockhaven;
+using namespace hemlockhaven::Testing;
+
+namespace {
+
+constexpr Duration kSecond{ 1000000 };
+constexpr Duration kMillisecond{ 1000 };
+
+//! What is broken at present, and the draws that break more of it.
+class Faults
+{
+public:
+  Faults(Cluster& aCluster,
+         const Cluster::Options& aOptions,
+         std::uint64_t aSeed)
+    : cluster_(aCluster)
+    , options_(aOptions)
+    , dice_(aSeed)
+  {
+  }
+
+  std::size_t Draw(std::size_t aBelow) { return dice_.Next() % aBelow; }
+
+  std::string ToggleZone()
+  {
+    const std::size_t zone = Draw(options_.zones);
+    const bool cut = Toggle(cutZones_, zone);
+    cluster_.CutZone(zone, cut);
+    return (cut ? "cut zone " : "heal zone ") + std::to_string(zone);
+  }
+  std::string ToggleLinks()
+  {
+    const std::size_t daemon = Draw(options_.daemons);
+    const bool cut = Toggle(cutLinks_, daemon);
+    cluster_.CutLinks(daemon, cut);
+    return (cut ? "cut links of d" : "heal links of d") +
+           std::to_string(daemon);
+  }
+  std::string ToggleStore()
+  {
+    const std::size_t daemon = Draw(options_.daemons);
+    const bool cut = Toggle(cutStores_, daemon);
+    cluster_.CutStore(daemon, cut);
+    return (cut ? "cut store of d" : "heal store of d") +
+           std::to_string(daemon);
+  }
+  //! Expires the entries of a zone's endpoints, or puts the expired ones back.
+  std::string ToggleEntriesOfZone()
+  {
+    const std::size_t zone = Draw(options_.zones);
+    const bool expire = expired_.count(zone) == 0;
+    std::string what = "zone " + std::to_string(zone) + ":";
+    for (std::size_t i = zone; i < options_.endpoints; i += options_.zones) {
+      what += SetExpired(i, expire);
+    }
+    return what;
+  }
+  std::string ToggleSomeEntries()
+  {
+    std::string what = "some:";
+    for (std::size_t i = 0; i < options_.endpoints; ++i) {
+      if (Draw(3) == 0) {
+        what += SetExpired(i, expired_.count(i) == 0);
+      }
+    }
+    return what;
+  }
+  std::string KillOrStart()
+  {
+    const std::size_t daemon = Draw(options_.daemons);
+    if (cluster_.IsUp(daemon)) {
+      cluster_.Kill(daemon);
+      return "kill d" + std::to_string(daemon);
+    }
+    cluster_.Restart(daemon);
+    return "start d" + std::to_string(daemon);
+  }
+  std::string Restart()
+  {
+    const std::size_t daemon = Draw(options_.daemons);
+    cluster_.Kill(daemon);
+    cluster_.Restart(daemon);
+    return "restart d" + std::to_string(daemon);
+  }
+  std::string Pause()
+  {
+    const std::size_t daemon = Draw(options_.daemons);
+    const auto milliseconds = 100 + static_cast<std::int64_t>(Draw(1900));
+    cluster_.Pause(daemon, milliseconds * kMillisecond);
+    return "pause d" + std::to_string(daemon) + " for " +
+           std::to_string(milliseconds) + " ms";
+  }
+  std::string KillLeader()
+  {
+    const auto leader = cluster_.Leader();
+    if (!leader) {
+      return "no leader to kill";
+    }
+    cluster_.Kill(*leader);
+    return "kill leader d" + std::to_string(*leader);
+  }
+  std::string CrashEndpoint()
+  {
+    const std::size_t endpoint = Draw(options_.endpoints);
+    cluster_.CrashEndpoint(endpoint);
+    return "crash e" + std::to_string(endpoint);
+  }
+  std::string ToggleSilent()
+  {
+    const std::size_t endpoint = Draw(options_.endpoints);
+    const bool silent = Toggle(silent_, endpoint);
+    cluster_.SetSilent(endpoint, silent);
+    return (silent ? "silence e" : "unsilence e") + std::to_string(endpoint);
+  }
+
+  //! Ends all faults; only a pause lasts until its time is over.
+  void HealAll()
+  {
+    for (std::size_t zone = 0; zone < options_.zones; ++zone) {
+      cluster_.CutZone(zone, false);
+    }
+    for (std::size_t i = 0; i < options_.daemons; ++i) {
+      cluster_.CutLinks(i, false);
+      cluster_.CutStore(i, false);
+      cluster_.Restart(i);
+    }
+    for (std::size_t i = 0; i < options_.endpoints; ++i) {
+      cluster_.SetSilent(i, false);
+      SetExpired(i, false);
+    }
+  }
+
+private:
+  //! Whether the set has the index afterwards.
+  static bool Toggle(std::set<std::size_t>& aSet, std::size_t aIndex)
+  {
+    const bool added = aSet.insert(aIndex).second;
+    if (!added) {
+      aSet.erase(aIndex);
+    }
+    return added;
+  }
+  std::string SetExpired(std::size_t aEndpoint, bool aExpired)
+  {
+    if (aExpired == (expired_.count(aEndpoint) > 0)) {
+      return "";
+    }
+    Toggle(expired_, aEndpoint);
+    if (aExpired) {
+      cluster_.ExpireEntry(aEndpoint);
+    } else {
+      cluster_.PutEntry(aEndpoint);
+    }
+    return (aExpired ? " expire e" : " put e") + std::to_string(aEndpoint);
+  }
+
+  Cluster& cluster_;
+  const Cluster::Options& options_;
+  Dice dice_;
+  std::set<std::size_t> cutZones_;
+  std::set<std::size_t> cutLinks_;
+  std::set<std::size_t> cutStores_;
+  std::set<std::size_t> expired_;
+  std::set<std::size_t> silent_;
+};
+
+struct FaultKind
+{
+  const char* guardsAgainst;
+  std::function<std::string(Faults&)> play; //!< Says what was done.
+};
+
+const FaultKind kFaultKinds[] = {
+  { "two leaders on both sides of a cut that start the same task",
+    &Faults::ToggleZone },
+  { "leaders that share endpoints but do not hear each other",
+    &Faults::ToggleLinks },
+  { "a leader whose list is behind an earlier leader's", &Faults::ToggleStore },
+  { "endpoints of a cut zone that one leader knows and another does not",
+    &Faults::ToggleEntriesOfZone },
+  { "endpoints that are dropped or listed again while they run tasks",
+    &Faults::ToggleSomeEntries },
+  { "losing the work of dead leaders and fronts", &Faults::KillOrStart },
+  { "a daemon without memory of endpoints that left the list",
+    &Faults::Restart },
+  { "a paused leader that goes on as if nothing happened", &Faults::Pause },
+  { "runs that the next leader does not adopt", &Faults::KillLeader },
+  { "waiting for runs of an endpoint that crashed", &Faults::CrashEndpoint },
+  { "a restart before the lease of a silent endpoint lapsed",
+    &Faults::ToggleSilent },
+};
+
+//! Each seed plays about two thirds of the kinds: with all of them at once the
+//! cluster is rarely whole for long enough to start tasks.
+std::vector<const FaultKind*> DrawKinds(Faults& aFaults)
+{
+  std::vector<const FaultKind*> kinds;
+  while (kinds.empty()) {
+    for (const FaultKind& kind : kFaultKinds) {
+      if (aFaults.Draw(3) > 0) {
+        kinds.push_back(&kind);
+      }
+    }
+  }
+  return kinds;
+}
+
+//! Prints the faults, the elections and the decisions about the task.
+void PrintTrace(const std::vector<std::string>& aLines,
+                const std::string& aTask)
+{
+  const std::string id = aTask.substr(0, aTask.find('.'));
+  for (const std::string& line : aLines) {
+    if (line.find("fault: ") != std::string::npos ||
+        line.find(" lead ") != std::string::npos ||
+        (!id.empty() && (line.find(" " + id + " ") != std::string::npos ||
+                         line.find(" " + id + ".") != std::string::npos))) {
+      std::cerr << line << '\n';
+    }
+  }
+}
+
+//! Steady work while faults come and go, then new work without faults. What
+//! was broken; empty if nothing was.
+std::string Play(std::uint64_t aSeed)
+{
+  constexpr Duration kFaultsLast = 10 * kSecond;
+  // The longest time to recover in the table of failures of platform.md.
+  constexpr Duration kRecovery = 2 * kSecond;
+  constexpr int kWorks = 440;    // One each 25 ms, until the faults end.
+  constexpr int kNewWorks = 100; // One each 50 ms, after them.
+  const Cluster::Options options = ListReadingCluster(aSeed);
+  Cluster cluster(options);
+  cluster.work = WorkTime;
+  std::vector<std::string> lines;
+  cluster.trace = [&lines](const std::string& aLine) {
+    lines.push_back(aLine);
+  };
+  const auto say = [&cluster, &lines](const std::string& aWhat) {
+    const auto now = cluster.Time().Now().time_since_epoch().count();
+    lines.push_back(std::to_string(now / 1000 % 1000000) + " fault: " + aWhat);
+  };
+
+  SubmitSteadily(cluster, 0, kWorks, 25 * kMillisecond);
+  cluster.Time().RunFor(kSecond);
+  Faults faults(cluster, options, aSeed);
+  const std::vector<const FaultKind*> kinds = DrawKinds(faults);
+  const TimePoint end = cluster.Time().Now() + kFaultsLast;
+  while (cluster.Time().Now() < end) {
+    say(kinds[faults.Draw(kinds.size())]->play(faults));
+    cluster.Time().RunFor((100 + static_cast<std::int64_t>(faults.Draw(900))) *
+                          kMillisecond);
+  }
+  faults.HealAll();
+  say("all healed");
+  cluster.Time().RunFor(kRecovery);
+  SubmitSteadily(cluster, kWorks, kNewWorks, 50 * kMillisecond);
+  // The last work is sent after 5 s, and its caller waits for 6 s.
+  cluster.Time().RunFor(12 * kSecond);
+
+  std::size_t unanswered = 0;
+  std::size_t refused = 0;
+  std::string firstUnserved;
+  for (int i = kWorks; i < kWorks + kNewWorks; ++i) {
+    const std::string id = MakeWork(i).id;
+    const auto found = cluster.Answers().find(id);
+    if (found == cluster.Answers().end()) {
+      ++unanswered;
+    } else if (found->second.answer.outcome != CallerOutcome::Completed) {
+      ++refused;
+    } else {
+      continue;
+    }
+    firstUnserved = firstUnserved.empty() ? id : firstUnserved;
+  }
+  const bool served = unanswered + refused == 0;
+  if (cluster.Doubled().empty() && cluster.Leaders() == 1 && served) {
+    return "";
+  }
+  std::cerr << "seed " << aSeed << '\n';
+  PrintTrace(lines,
+             cluster.Doubled().empty() ? firstUnserved
+                                       : cluster.Doubled().front());
+  return "seed " + std::to_string(aSeed) + ", ran twice " +
+         std::to_string(cluster.Doubled().size()) + ", leaders " +
+         std::to_string(cluster.Leaders()) + ", of the new work unanswered " +
+         std::to_string(unanswered) + ", not completed " +
+         std::to_string(refused) + "\n";
+}
+
+std::string PlayAll(const std::set<std::uint64_t>& aSeeds)
+{
+  std::string broken;
+  for (const std::uint64_t seed : aSeeds) {
+    broken += Play(seed);
+  }
+  return broken;
+}
+
+}
+
+TEST_GROUP(RandomFaults){};
+
+TEST(RandomFaults, RunNoTaskTwiceAndLeaveOneLeader)
+{
+  std::set<std::uint64_t> seeds{ 1, 2,  3,  4,  5,  6,  7,  8,
+                                 9, 10, 11, 12, 13, 14, 15, 16 };
+  // Others by hand: HEMLOCKHAVEN_SEEDS=200 test_coordinator -sg RandomFaults
+  const char* more = std::getenv("HEMLOCKHAVEN_SEEDS");
+  const std::uint64_t others = more == nullptr ? 0 : std::stoull(more);
+  for (std::uint64_t seed = 1; seed <= others; ++seed) {
+    seeds.insert(seed);
+  }
+  STRCMP_EQUAL("", PlayAll(seeds).c_str());
+}
+
+// The groups below hold the seeds that broke by their cause, one group for each
+// cause since KNOWN-RED.txt passes over whole groups.
+
+TEST_GROUP(RandomFaultsLostFront){};
+
+TEST(RandomFaultsLostFront, RunsNoTaskTwice)
+{
+  // A leader accepts work from a front that it has lost. It never gives that
+  // work up, since it loses that front no second time, while the front hands
+  // the work to another leader.
+  STRCMP_EQUAL("", PlayAll({ 543, 902, 1055 }).c_str());
+}
+
+TEST_GROUP(RandomFaultsYieldedLeader){};
+
+TEST(RandomFaultsYieldedLeader, RunsNoTaskTwice)
+{
+  // A leader that yields forgets its runs at endpoints that have left the list,
+  // and its own front hands work on with bounds that do not include them.
+  STRCMP_EQUAL("", PlayAll({ 1072 }).c_str());
+}
+
+TEST_GROUP(RandomFaultsRecovery){};
+
+TEST(RandomFaultsRecovery, LeavesNoMajorityWithoutLeader)
+{
+  // A leader yields to one that it does not see, and stays away for 2 to 16 s.
+  // Daemons that start or are linked again in that time stay away with it,
+  // until long after they are a majority that hears each other.
+  STRCMP_EQUAL(
+    "",
+    PlayAll({ 25, 60, 102, 207, 209, 219, 335, 502, 645, 680, 757, 951 })
+      .c_str());
+}
+
+TEST_GROUP(RandomFaultsRefusal){};
+
+TEST(RandomFaultsRefusal, CompletesNewWork)
+{
+  // A leader elected within the last 2 s refuses the first new work as late.
+  STRCMP_EQUAL("", PlayAll({ 566, 852 }).c_str());
+}
--- a/tests/coordinator/UnknownEndpointsTest.cpp
+++ b/tests/coordinator/UnknownEndpointsTest.cpp
@@ -1,6 +1,7 @@
 // A new leader must not start tasks again that may run at endpoints that it
 // does not know and an earlier leader did.
 #include "support/Cluster.h"
+#include "support/SteadyWork.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -156,55 +157,19 @@
     { 4, 13, 16 } },
 };
 
-Work MakeWork(int aNumber)
-{
-  const bool isLong = aNumber % 3 == 0;
-  Work work;
-  work.kind = isLong ? "long" : "w";
-  work.id = work.kind + std::to_string(aNumber);
-  WorkStep step;
-  step.count = isLong ? 1 : 2;
-  step.each = { isLong ? 2000 : 6000, 64, 0 };
-  step.estimate = Duration(isLong ? 1500000 : 100000);
-  work.steps.push_back(step);
-  work.attempts = 3;
-  work.stretch = 1.6;
-  work.targetLatency = Duration(60000);
-  work.patience = 6 * kSecond;
-  return work;
-}
-
 //! Steady work at about half of the endpoints while the fault goes on. What
 //! was broken; empty if nothing was.
 std::string Play(const ListFaultRow& aRow, std::uint64_t aSeed)
 {
-  Cluster::Options options;
-  options.daemons = kDaemons;
-  options.zones = kZones;
-  options.endpoints = kEndpoints;
-  options.speeds = { 0.6, 1.0, 1.4 };
-  options.seed = aSeed;
-  options.readsList = true;
-  Cluster cluster(options);
-  cluster.work = [](const TaskKey& aTask) {
-    const bool isLong = aTask.workId.rfind("long", 0) == 0;
-    return Duration(isLong ? 1500000 : 100000);
-  };
+  Cluster cluster(ListReadingCluster(aSeed));
+  cluster.work = WorkTime;
   constexpr int kWorks = 400;
-  for (int i = 0; i < kWorks; ++i) {
-    cluster.Time().After(i * Duration(25000), [&cluster, i] {
-      const auto daemon = static_cast<std::size_t>(i) % kDaemons;
-      cluster.Submit(daemon, MakeWork(i));
-    });
-  }
+  SubmitSteadily(cluster, 0, kWorks, Duration(25000));
   cluster.Time().RunFor(kSecond);
   aRow.fault(cluster);
   cluster.Time().RunFor(20 * kSecond);
 
-  std::size_t completed = 0;
-  for (const auto& [id, answer] : cluster.Answers()) {
-    completed += answer.answer.outcome == CallerOutcome::Completed ? 1 : 0;
-  }
+  const std::size_t completed = CountCompleted(cluster, 0, kWorks);
   const std::string what = std::string(aRow.guardsAgainst) + ", seed " +
                            std::to_string(aSeed) + ", completed " +
                            std::to_string(completed) + ", ran twice " +
