Give work back that comes from a lost front

A leader stops a front's work when it loses the front. A front that stood still, or whose leader did, sends work right after the loss; the leader accepted it, lost that front no second time, and started its tasks up to 2.4 s later, when the front's next leader had held the work for 1.3 s. Change: what a lost front sends is given back; a front hands such work in again after 0.15 s if its leader is still the same. The leader then treats it as work of an earlier leader. Evidence: RandomFaultsLostFront and the new row of FrontDesk.AnswersEachCallerOnce failed before.

--- a/include/hemlockhaven/front/FrontDesk.h
+++ b/include/hemlockhaven/front/FrontDesk.h
@@ -73,6 +73,9 @@
   static constexpr Duration kLeaderPatience{ 400000 };
   //! Handed-in work waits so long for the next leader: two elections.
   static constexpr Duration kNextLeaderPatience{ 2500000 };
+  //! Work that the present leader gave back is handed in again after this: two
+  //! beats, after which the leader knows its front again.
+  static constexpr Duration kHandInAgain{ 150000 };
   //! Callers that may wait at once; about 6 kB each.
   static constexpr std::size_t kMostWaiting = 4000;
 
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -122,6 +122,8 @@
   std::string Leader() const;
   bool IsLeading() const;
   std::size_t AliveMembers() const;
+  //! Whether the member was alive and has not been since.
+  bool IsLost(std::string_view aName) const;
 
 private:
   struct Known
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -245,6 +245,23 @@
 
 void Coordinator::HeardWork(std::string_view aFront, Work aWork)
 {
+  // The work of a front is given up when the front is lost. What a lost front
+  // sends would not be, while the front may hand it to another leader.
+  if (aFront != name_ && election_.IsLost(aFront)) {
+    Decision decision;
+    decision.step = "submit";
+    decision.workId = aWork.id;
+    decision.outcome = "given back";
+    decision.detail = "its front is lost";
+    hooks_.note(decision);
+    WorkAnswer answer;
+    answer.front = aFront;
+    answer.workId = std::move(aWork.id);
+    answer.outcome = WorkOutcome::Moved;
+    answer.reason = decision.detail;
+    hooks_.sendAnswer(aFront, answer);
+    return;
+  }
   const auto scheduler = SchedulerOf(aWork.service);
   Apply(*scheduler, scheduler->Submit(aFront, std::move(aWork)));
 }
--- a/src/front/FrontDesk.cpp
+++ b/src/front/FrontDesk.cpp
@@ -299,12 +299,13 @@
 FrontEffects FrontDesk::Tick()
 {
   FrontEffects effects;
-  const bool leaderless = PresentLeader().empty();
+  const std::string leader = PresentLeader();
+  const bool leaderless = leader.empty();
   const TimePoint now = clock_();
   for (Shard& shard : shards_) {
     const std::lock_guard<std::mutex> lock(shard.mutex);
     std::vector<std::pair<std::string, std::string_view>> over;
-    for (const auto& [id, entry] : shard.entries) {
+    for (auto& [id, entry] : shard.entries) {
       const Duration unassigned = now - entry.unassignedSince;
       if (now >= entry.deadline) {
         over.emplace_back(id, "deadline passed");
@@ -314,6 +315,9 @@
       } else if ((leaderless || !entry.assigned) &&
                  unassigned > kNextLeaderPatience) {
         over.emplace_back(id, "its leader was lost");
+      } else if (!leaderless && entry.leader == leader && !entry.assigned &&
+                 unassigned > kHandInAgain) {
+        HandIn(entry, leader, now, effects);
       }
     }
     for (const auto& [id, reason] : over) {
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -557,6 +557,17 @@
   return token_ != 0;
 }
 
+bool LeaderElection::IsLost(std::string_view aName) const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::any_of(
+    members_.begin(), members_.end(), [aName](const auto& aPair) {
+      const Known& known = aPair.second;
+      return known.member.name == aName && !known.alive &&
+             known.lostAt != TimePoint();
+    });
+}
+
 std::size_t LeaderElection::AliveMembers() const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/front/FrontDeskTest.cpp
+++ b/tests/front/FrontDeskTest.cpp
@@ -161,6 +161,18 @@
     "",
     1,
     CallerOutcome::Completed },
+  { "losing work that a leader gave back and goes on leading",
+    [](Bench& aBench) {
+      aBench.Leader("a");
+      aBench.Accept();
+      aBench.Answer("a", WorkOutcome::Moved);
+      aBench.Wait(300);
+      aBench.Answer("a", WorkOutcome::Completed);
+    },
+    "aa",
+    "",
+    1,
+    CallerOutcome::Completed },
   { "calling work not run that an earlier leader may have run",
     [](Bench& aBench) {
       aBench.Leader("a");
