--- a/tests/coordinator/UnknownEndpointsTest.cpp
+++ b/tests/coordinator/UnknownEndpointsTest.cpp
@@ -1,6 +1,7 @@
 // A new leader must not start tasks again that may run at endpoints that it
 // does not know and an earlier leader did.
 #include "support/Cluster.h"
+#include "support/ListFaults.h"
 #include "support/SteadyWork.h"
 
 #include <CppUTest/TestHarness.h>
@@ -18,7 +19,6 @@
 
 constexpr Duration kSecond{ 1000000 };
 constexpr std::size_t kDaemons = 6;
-constexpr std::size_t kZones = 3;
 constexpr std::size_t kEndpoints = 12;
 
 struct ListFaultRow
@@ -82,38 +82,7 @@
 const ListFaultRow kListFaultRows[] = {
   { "expired entries of a zone that was cut off, unknown to a daemon that "
     "started in it",
-    [](Cluster& aCluster) {
-      for (std::size_t zone = 0; zone < kZones; ++zone) {
-        aCluster.CutZone(zone, true);
-        aCluster.Time().RunFor(2 * kSecond);
-        for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-          aCluster.ExpireEntry(i);
-        }
-        for (std::size_t i = zone; i < kDaemons; i += kZones) {
-          aCluster.Kill(i);
-          aCluster.Restart(i);
-        }
-        aCluster.Time().RunFor(2 * kSecond);
-        // Some links come back later than the endpoints.
-        std::vector<std::size_t> others;
-        for (std::size_t i = 0; i < kDaemons; ++i) {
-          if (aCluster.IsLeading(i) && i % kZones != zone) {
-            others.push_back(i);
-            aCluster.CutLinks(i, true);
-          }
-        }
-        aCluster.CutZone(zone, false);
-        aCluster.Time().RunFor(Duration(700000));
-        for (const std::size_t other : others) {
-          aCluster.CutLinks(other, false);
-        }
-        aCluster.Time().RunFor(Duration(500000));
-        for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-          aCluster.PutEntry(i);
-        }
-        aCluster.Time().RunFor(kSecond);
-      }
-    },
+    CutZonesAndRestart,
     0.3,
     { 5, 15, 20 } },
   { "expired entries that the dead leader still used",
--- a/tests/coordinator/UnseenRunsTest.cpp
+++ b/tests/coordinator/UnseenRunsTest.cpp
@@ -1,6 +1,9 @@
-// Ways in which a leader may still conclude from its looks that a task runs
-// nowhere, though an earlier leader runs it at an endpoint unknown to it.
+// A leader must not conclude from its looks that a task runs nowhere while an
+// earlier leader may run it at an endpoint that it does not know any more, or
+// that the earlier one had dropped.
 #include "support/Cluster.h"
+#include "support/ListFaults.h"
+#include "support/SteadyWork.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -16,64 +19,6 @@
 namespace {
 
 constexpr Duration kSecond{ 1000000 };
-constexpr std::size_t kDaemons = 6;
-constexpr std::size_t kZones = 3;
-constexpr std::size_t kEndpoints = 12;
-
-//! Cuts each zone off in turn for so long; its entries expire meanwhile and
-//! return 1.8 s after the cut ends, within the two seconds of the protocol.
-void CutZones(Cluster& aCluster, Duration aCut)
-{
-  for (std::size_t zone = 0; zone < kZones; ++zone) {
-    aCluster.CutZone(zone, true);
-    aCluster.Time().RunFor(2 * kSecond);
-    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-      aCluster.ExpireEntry(i);
-    }
-    aCluster.Time().RunFor(aCut - 2 * kSecond);
-    aCluster.CutZone(zone, false);
-    aCluster.Time().RunFor(Duration(1800000));
-    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-      aCluster.PutEntry(i);
-    }
-    aCluster.Time().RunFor(2 * kSecond);
-  }
-}
-
-//! The incident as in UnknownEndpoints.
-void CutZonesWithLateLinks(Cluster& aCluster)
-{
-  for (std::size_t zone = 0; zone < kZones; ++zone) {
-    aCluster.CutZone(zone, true);
-    aCluster.Time().RunFor(2 * kSecond);
-    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-      aCluster.ExpireEntry(i);
-    }
-    for (std::size_t i = zone; i < kDaemons; i += kZones) {
-      aCluster.Kill(i);
-      aCluster.Restart(i);
-    }
-    aCluster.Time().RunFor(2 * kSecond);
-    std::vector<std::size_t> others;
-    for (std::size_t i = 0; i < kDaemons; ++i) {
-      if (aCluster.IsLeading(i) && i % kZones != zone) {
-        others.push_back(i);
-        aCluster.CutLinks(i, true);
-      }
-    }
-    aCluster.CutZone(zone, false);
-    aCluster.Time().RunFor(Duration(700000));
-    for (const std::size_t other : others) {
-      aCluster.CutLinks(other, false);
-    }
-    aCluster.Time().RunFor(Duration(500000));
-    for (std::size_t i = zone; i < kEndpoints; i += kZones) {
-      aCluster.PutEntry(i);
-    }
-    aCluster.Time().RunFor(kSecond);
-  }
-}
-
 struct UnseenRow
 {
   const char* guardsAgainst;
@@ -92,47 +37,22 @@
     4800,
     { 1, 2, 3 } },
   { "runs of a leader that yields, whose own callers' work waits for the next",
-    CutZonesWithLateLinks,
+    CutZonesAndRestart,
     400,
     { 49, 52 } },
 };
 
-Work MakeWork(int aNumber)
-{
-  const bool isLong = aNumber % 3 == 0;
-  Work work;
-  work.kind = isLong ? "long" : "w";
-  work.id = work.kind + std::to_string(aNumber);
-  WorkStep step;
-  step.count = isLong ? 1 : 2;
-  step.each = { isLong ? 2000 : 6000, 64, 0 };
-  step.estimate = Duration(isLong ? 1500000 : 100000);
-  work.steps.push_back(step);
-  work.attempts = 3;
-  work.stretch = 1.6;
-  work.targetLatency = Duration(60000);
-  work.patience = 6 * kSecond;
-  return work;
-}
-
 std::string Play(const UnseenRow& aRow, std::uint64_t aSeed)
 {
-  Cluster::Options options;
-  options.daemons = kDaemons;
-  options.zones = kZones;
-  options.endpoints = kEndpoints;
-  options.speeds = { 0.6, 1.0, 1.4 };
-  options.seed = aSeed;
-  options.readsList = true;
+  const Cluster::Options options = ListReadingCluster(aSeed);
   Cluster cluster(options);
-  cluster.work = [](const TaskKey& aTask) {
-    const bool isLong = aTask.workId.rfind("long", 0) == 0;
-    return Duration(isLong ? 1500000 : 100000);
-  };
+  cluster.work = WorkTime;
   for (int i = 0; i < aRow.works; ++i) {
-    cluster.Time().After(i * Duration(25000), [&cluster, i] {
-      // Each daemon gets work of both kinds.
-      cluster.Submit(static_cast<std::size_t>(i / 3) % kDaemons, MakeWork(i));
+    // Each daemon gets work of both kinds.
+    const std::size_t daemon =
+      static_cast<std::size_t>(i / 3) % options.daemons;
+    cluster.Time().After(i * Duration(25000), [&cluster, daemon, i] {
+      cluster.Submit(daemon, MakeWork(i));
     });
   }
   cluster.Time().RunFor(kSecond);
--- /dev/null
+++ b/tests/support/ListFaults.cpp
@@ -0,0 +1,75 @@
+#include "support/ListFaults.h"
+
+#include "support/SteadyWork.h"
+
+#include <vector>
+
+namespace hemlockhaven::Testing {
+
+namespace {
+
+constexpr Duration kSecond{ 1000000 };
+
+//! The zone's entries appear or expire.
+void SetEntries(Cluster& aCluster,
+                const Cluster::Options& aOptions,
+                std::size_t aZone,
+                bool aListed)
+{
+  for (std::size_t i = aZone; i < aOptions.endpoints; i += aOptions.zones) {
+    if (aListed) {
+      aCluster.PutEntry(i);
+    } else {
+      aCluster.ExpireEntry(i);
+    }
+  }
+}
+
+}
+
+void CutZones(Cluster& aCluster, Duration aCut)
+{
+  const Cluster::Options options = ListReadingCluster(0);
+  for (std::size_t zone = 0; zone < options.zones; ++zone) {
+    aCluster.CutZone(zone, true);
+    aCluster.Time().RunFor(2 * kSecond);
+    SetEntries(aCluster, options, zone, false);
+    aCluster.Time().RunFor(aCut - 2 * kSecond);
+    aCluster.CutZone(zone, false);
+    aCluster.Time().RunFor(Duration(1800000));
+    SetEntries(aCluster, options, zone, true);
+    aCluster.Time().RunFor(2 * kSecond);
+  }
+}
+
+void CutZonesAndRestart(Cluster& aCluster)
+{
+  const Cluster::Options options = ListReadingCluster(0);
+  for (std::size_t zone = 0; zone < options.zones; ++zone) {
+    aCluster.CutZone(zone, true);
+    aCluster.Time().RunFor(2 * kSecond);
+    SetEntries(aCluster, options, zone, false);
+    for (std::size_t i = zone; i < options.daemons; i += options.zones) {
+      aCluster.Kill(i);
+      aCluster.Restart(i);
+    }
+    aCluster.Time().RunFor(2 * kSecond);
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < options.daemons; ++i) {
+      if (aCluster.IsLeading(i) && i % options.zones != zone) {
+        others.push_back(i);
+        aCluster.CutLinks(i, true);
+      }
+    }
+    aCluster.CutZone(zone, false);
+    aCluster.Time().RunFor(Duration(700000));
+    for (const std::size_t other : others) {
+      aCluster.CutLinks(other, false);
+    }
+    aCluster.Time().RunFor(Duration(500000));
+    SetEntries(aCluster, options, zone, true);
+    aCluster.Time().RunFor(kSecond);
+  }
+}
+
+}
