--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -1,6 +1,6 @@
 #include "soak/StoreStandIn.h"
 
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 #include "platform/Protocol.h"
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -1,7 +1,7 @@
 #include "cli/Commands.h"
 
 #include "cli/Submission.h"
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 
 #include <unistd.h>
 
--- a/src/http/CallerApi.h
+++ b/src/http/CallerApi.h
@@ -4,7 +4,7 @@
 #include "hemlockhaven/metrics/Summaries.h"
 #include "hemlockhaven/node/Node.h"
 #include "http/HttpReply.h"
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 #include "http/JsonCodec.h"
 
 #include <atomic>
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,7 +4,7 @@
 #include "hemlockhaven/core/Time.h"
 #include "http/HandlerPool.h"
 #include "http/HttpReply.h"
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 #include "net/HttpListener.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/http/OperatorApi.h
+++ b/src/http/OperatorApi.h
@@ -2,7 +2,7 @@
 #define HEMLOCKHAVEN_SRC_HTTP_OPERATORAPI_H
 
 #include "http/HttpReply.h"
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 #include "http/OperatorHooks.h"
 
 namespace hemlockhaven {
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -98,6 +98,17 @@
            std::move(knownMembers) };
 }
 
+//! Rejects durations outside of 0 to kMaxHeartbeatDuration, whose multiples
+//! could overflow.
+Duration CheckedDuration(std::int64_t aMicros)
+{
+  constexpr Duration kMaxHeartbeatDuration = std::chrono::hours(1);
+  if (aMicros < 0 || aMicros > kMaxHeartbeatDuration.count()) {
+    throw msgpack::type_error();
+  }
+  return Duration(aMicros);
+}
+
 Heartbeat FromFields(const HeartbeatFields& aFields)
 {
   Heartbeat heartbeat;
@@ -118,8 +129,8 @@
            heartbeat.canLead,
            heartbeat.leaving,
            knownMembers) = aFields;
-  heartbeat.interval = Duration(interval);
-  heartbeat.electionBackoff = Duration(electionBackoff);
+  heartbeat.interval = CheckedDuration(interval);
+  heartbeat.electionBackoff = CheckedDuration(electionBackoff);
   heartbeat.from = FromFields(from);
   for (const MemberFields& member : knownMembers) {
     heartbeat.knownMembers.push_back(FromFields(member));
@@ -253,8 +264,17 @@
 std::optional<LinkMessage> DecodeLinkMessage(Span<const char> aBytes)
 {
   try {
-    const msgpack::object_handle handle =
-      msgpack::unpack(aBytes.data(), aBytes.size());
+    // Bounds what the length fields of a malformed frame can allocate. Every
+    // element takes at least a byte.
+    constexpr std::size_t kMaxNesting = 8;
+    const std::size_t maxElements = aBytes.size();
+    const msgpack::object_handle handle = msgpack::unpack(
+      aBytes.data(),
+      aBytes.size(),
+      nullptr,
+      nullptr,
+      msgpack::unpack_limit(
+        maxElements, 0, maxElements, maxElements, 0, kMaxNesting));
     const auto parts =
       handle.get()
         .as<std::tuple<std::uint32_t, std::uint32_t, msgpack::object>>();
--- a/src/http/HttpRequestView.cpp
+++ b/src/net/HttpRequestView.cpp
@@ -1,4 +1,4 @@
-#include "http/HttpRequestView.h"
+#include "net/HttpRequestView.h"
 
 #include <cctype>
 #include <charconv>
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -100,6 +100,22 @@
   LONGS_EQUAL(9, answered.retryAfter.count());
 }
 
+TEST(LinkMessage, RejectsValuesOutOfRange)
+{
+  Heartbeat heartbeat = MakeHeartbeat("n");
+  heartbeat.interval = Duration::max();
+  CHECK_FALSE(DecodeLinkMessage(EncodeLinkMessage(heartbeat)).has_value());
+  heartbeat.interval = Duration(-1);
+  CHECK_FALSE(DecodeLinkMessage(EncodeLinkMessage(heartbeat)).has_value());
+  heartbeat = MakeHeartbeat("n");
+  heartbeat.electionBackoff = Duration::max();
+  CHECK_FALSE(DecodeLinkMessage(EncodeLinkMessage(heartbeat)).has_value());
+  // Nested arrays, and an array that claims 2^32 - 1 elements.
+  CHECK_FALSE(DecodeLinkMessage(std::string(100000, '\x91')).has_value());
+  const std::string huge{ '\xdd', '\xff', '\xff', '\xff', '\xff', '\x01' };
+  CHECK_FALSE(DecodeLinkMessage(huge).has_value());
+}
+
 TEST(LinkMessage, RejectsTruncatedFramesAndOtherVersions)
 {
   const std::string bytes = EncodeLinkMessage(MakeWork());
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -336,7 +336,7 @@
       line << time_.Now().time_since_epoch().count() / 1000 % 1000000 << " "
            << name << " " << aDecision.step << " " << aDecision.workId << " "
            << aDecision.endpoint << " " << aDecision.outcome << " "
-           << aDecision.detail;
+           << aDecision.detail << " " << aDecision.inputs;
       trace(line.str());
     }
   };
