Hold work whose earlier leader led endpoints of other zones

Cause: the bounds on an earlier leader's endpoints say which positions of the list it had read, not which zones it led.

Change: EndpointsInUse names the zone; a leader of one zone holds work of a leader of others until the leases have expired. The scheduler knows its part.

--- a/include/hemlockhaven/scheduler/EndpointsInUse.h
+++ b/include/hemlockhaven/scheduler/EndpointsInUse.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <string>
 
 namespace hemlockhaven {
 
@@ -17,9 +18,22 @@
   //! None of them left the list before this position.
   std::uint64_t leftFrom = std::numeric_limits<std::uint64_t>::max();
 
+  //! Availability zone that all of them are in; empty: they may be in any.
+  std::string part{};
+
+  bool IsEmpty() const { return listedBy == 0; }
+
   //! Extends the bounds to another leader's endpoints.
   void Add(const EndpointsInUse& aOther)
   {
+    if (aOther.IsEmpty()) {
+      return;
+    }
+    if (IsEmpty()) {
+      part = aOther.part;
+    } else if (part != aOther.part) {
+      part.clear();
+    }
     listedBy = std::max(listedBy, aOther.listedBy);
     leftFrom = std::min(leftFrom, aOther.leftFrom);
   }
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -59,9 +59,11 @@
 
   //! Sets the current endpoints; others get no new runs.
   SchedulerEffects SetEndpoints(Span<const ListedEndpoint> aEndpoints);
-  //! Forgets endpoints without runs that are not listed any more, since another
-  //! leader has them now. To poll them would take them from it.
-  void ForgetUnlistedEndpoints();
+  //! Sets the availability zone that the endpoints of the last SetEndpoints are
+  //! limited to; empty: all zones. After a change, endpoints that are not
+  //! listed any more are forgotten, since another leader has them: to poll them
+  //! would take them from it.
+  void SetPart(std::string_view aPart);
   //! The part of the list behind the last SetEndpoints, and bounds on its
   //! endpoints. Work of an earlier leader that used unknown endpoints is held
   //! until their leases have expired.
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -354,9 +354,7 @@
   for (const auto& [service, endpoints] : endpointsByService) {
     const auto scheduler = SchedulerFor(service);
     Apply(*scheduler, scheduler->SetEndpoints(endpoints));
-    if (isChanged) {
-      scheduler->ForgetUnlistedEndpoints();
-    }
+    scheduler->SetPart(part);
   }
 }
 
--- a/src/leadership/ElectionHeartbeats.cpp
+++ b/src/leadership/ElectionHeartbeats.cpp
@@ -108,6 +108,7 @@
   heartbeat.canLead = canLead_ && now_ >= backoffUntil_;
   heartbeat.leaving = leaving_;
   heartbeat.part = part_;
+  heartbeat.endpointsInUse.part = part_;
   heartbeat.wantsReply = aState.wantsReply;
   return heartbeat;
 }
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -53,7 +53,8 @@
                               std::int64_t,
                               std::uint32_t,
                               std::uint64_t,
-                              std::uint64_t>;
+                              std::uint64_t,
+                              std::string>;
 using AnswerFields = std::
   tuple<std::string, std::uint32_t, std::string, std::int64_t, std::int64_t>;
 using CancelFields = std::tuple<std::string, std::string>;
@@ -136,6 +137,7 @@
   heartbeat.interval = CheckedDuration(interval);
   heartbeat.electionBackoff = CheckedDuration(electionBackoff);
   heartbeat.from = FromFields(from);
+  heartbeat.endpointsInUse.part = heartbeat.part;
   for (const MemberFields& member : knownMembers) {
     heartbeat.knownMembers.push_back(FromFields(member));
   }
@@ -170,7 +172,8 @@
            aWork.callerTimeout.count(),
            aWork.submissions,
            aWork.priorEndpoints.listedBy,
-           aWork.priorEndpoints.leftFrom };
+           aWork.priorEndpoints.leftFrom,
+           aWork.priorEndpoints.part };
 }
 
 Work FromFields(WorkFields aFields)
@@ -193,7 +196,8 @@
            callerTimeout,
            work.submissions,
            work.priorEndpoints.listedBy,
-           work.priorEndpoints.leftFrom) = std::move(aFields);
+           work.priorEndpoints.leftFrom,
+           work.priorEndpoints.part) = std::move(aFields);
   work.targetLatency = Duration(target);
   work.age = Duration(age);
   work.callerTimeout = Duration(callerTimeout);
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -72,10 +72,10 @@
   });
 }
 
-void Scheduler::ForgetUnlistedEndpoints()
+void Scheduler::SetPart(std::string_view aPart)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  state_->ForgetUnlistedEndpoints();
+  state_->SetPart(aPart);
 }
 
 SchedulerEffects Scheduler::Submit(std::string_view aEntryVm, Work aWork)
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -361,6 +361,7 @@
 EndpointsInUse SchedulerState::UsedEndpoints() const
 {
   EndpointsInUse inUse = listedBounds_;
+  inUse.part = part_;
   for (const auto& [id, endpoint] : endpoints_) {
     if (!endpoint.isListed && !endpoint.runs.empty()) {
       inUse.leftFrom = std::min(inUse.leftFrom, endpoint.leftFrom);
@@ -371,6 +372,9 @@
 
 bool SchedulerState::KnowsEndpoints(const EndpointsInUse& aEndpoints) const
 {
+  if (!part_.empty() && !aEndpoints.IsEmpty() && aEndpoints.part != part_) {
+    return false;
+  }
   ListPosition known = listPosition_;
   known.readFrom = std::max(known.readFrom, erasedUpTo_);
   return known.Covers(aEndpoints);
@@ -393,9 +397,13 @@
     });
 }
 
-void SchedulerState::ForgetUnlistedEndpoints()
+void SchedulerState::SetPart(std::string_view aPart)
 {
+  if (part_ == aPart) {
+    return;
+  }
   UpdateNow();
+  part_ = aPart;
   dividedAt_ = now_;
   EraseUnlistedEndpoints(Duration(0));
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -32,7 +32,7 @@
     listedBounds_ = aListed;
   }
   EndpointsInUse UsedEndpoints() const;
-  void ForgetUnlistedEndpoints();
+  void SetPart(std::string_view aPart);
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints,
                     SchedulerEffects& aEffects);
   void Submit(std::string_view aEntryVm,
@@ -207,7 +207,8 @@
   ListPosition listPosition_;
   EndpointsInUse listedBounds_; //!< Bounds on the listed endpoints.
   //! Endpoints that left the list by then may have been erased.
-  std::optional<TimePoint> dividedAt_; //!< Last change of the division.
+  std::string part_;
+  std::optional<TimePoint> dividedAt_; //!< Last change of part_.
   std::uint64_t erasedUpTo_ = 0;
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   WorkMap works_;
--- a/tests/coordinator/RandomFaultsTest.cpp
+++ b/tests/coordinator/RandomFaultsTest.cpp
@@ -374,7 +374,7 @@
     kDividingLinkMbps },
   { "parts whose leaders change in quick succession",
     FaultSelection::Lists,
-    { 1, 2, 3, 4, 8, 10, 16, 33, 68, 73 },
+    { 1, 2, 3, 4, 8, 10, 16, 33, 68, 73, 85 },
     kDividingLinkMbps },
 };
 
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -49,7 +49,7 @@
   work.stretch = 1.6;
   work.callerTimeout = Duration(5);
   work.submissions = 2;
-  work.priorEndpoints = { 12, 6 };
+  work.priorEndpoints = { 12, 6, "z" };
   return work;
 }
 
@@ -93,6 +93,7 @@
   LONGS_EQUAL(2, work.submissions);
   LONGS_EQUAL(12, work.priorEndpoints.listedBy);
   LONGS_EQUAL(6, work.priorEndpoints.leftFrom);
+  STRCMP_EQUAL("z", work.priorEndpoints.part.c_str());
 
   WorkAnswer answer;
   answer.workId = "w";
--- a/tests/scheduler/ListPositionTest.cpp
+++ b/tests/scheduler/ListPositionTest.cpp
@@ -18,7 +18,7 @@
   bool isCovered;
 };
 
-constexpr CoversRow kCoversRows[] = {
+const CoversRow kCoversRows[] = {
   { "waiting although no endpoint is new", { 10, 12 }, { 3, 12 }, true },
   { "an endpoint that only the leader knows", { 10, 12 }, { 3, 9 }, false },
   { "waiting although the list is current", { 10, 12 }, { 3, 10 }, true },
@@ -56,3 +56,28 @@
   LONGS_EQUAL(10, previous.listedBy);
   LONGS_EQUAL(8, previous.leftFrom);
 }
+
+struct PartRow
+{
+  const char* guardsAgainst;
+  EndpointsInUse first;
+  EndpointsInUse second;
+  const char* part;
+};
+
+const PartRow kPartRows[] = {
+  { "forgetting the only zone", {}, { 5, 8, "a" }, "a" },
+  { "widening to other zones without need", { 5, 8, "a" }, { 6, 9, "a" }, "a" },
+  { "limiting a leader of all zones to one", { 5, 8, "" }, { 6, 9, "a" }, "" },
+  { "overlooking a second zone", { 5, 8, "a" }, { 6, 9, "b" }, "" },
+  { "counting a leader without endpoints", { 5, 8, "a" }, {}, "a" },
+};
+
+TEST(ListPosition, KnowsTheZonesOfEarlierLeaders)
+{
+  for (const PartRow& row : kPartRows) {
+    EndpointsInUse previous = row.first;
+    previous.Add(row.second);
+    STRCMP_EQUAL_TEXT(row.part, previous.part.c_str(), row.guardsAgainst);
+  }
+}
