--- a/src/http/CallerApi.h
+++ b/src/http/CallerApi.h
@@ -4,8 +4,8 @@
 #include "hemlockhaven/metrics/Summaries.h"
 #include "hemlockhaven/node/Node.h"
 #include "http/HttpReply.h"
-#include "net/HttpRequestView.h"
 #include "http/JsonCodec.h"
+#include "net/HttpRequestView.h"
 
 #include <atomic>
 #include <cstddef>
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,8 +4,8 @@
 #include "hemlockhaven/core/Time.h"
 #include "http/HandlerPool.h"
 #include "http/HttpReply.h"
-#include "net/HttpRequestView.h"
 #include "net/HttpListener.h"
+#include "net/HttpRequestView.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/http/OperatorApi.h
+++ b/src/http/OperatorApi.h
@@ -2,8 +2,8 @@
 #define HEMLOCKHAVEN_SRC_HTTP_OPERATORAPI_H
 
 #include "http/HttpReply.h"
-#include "net/HttpRequestView.h"
 #include "http/OperatorHooks.h"
+#include "net/HttpRequestView.h"
 
 namespace hemlockhaven {
 
