--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -39,6 +40,9 @@
   //! Time to discover members after the start. Daemons that start together
   //! discover each other within 0.4 s.
   Duration discoveryPeriod{ 500000 };
+  //! Time after the start in which seeds of other parts get heartbeats. They
+  //! know the members that started before.
+  Duration seedContactTime{ 5000000 };
   //! A fenced leader without a majority does not lead again for this time,
   //! doubled with each fencing, up to eight times the value.
   Duration fencedBackoff{ 2000000 };
@@ -131,8 +135,9 @@
   //! Returns whether another leader leads the endpoints of one zone only.
   bool IsOtherLeaderDivided() const;
 
-  //! Returns this daemon and all members that it has learned of.
-  std::vector<Member> KnownMembers() const;
+  //! Calls the visitor with this daemon and each member that it has learned of.
+  //! The visitor must not call this election.
+  void VisitMembers(const std::function<void(const Member&)>& aVisitor) const;
 
   std::string Leader() const;
   bool IsLeading() const;
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -289,10 +289,10 @@
 PartDivision::Inputs Coordinator::DivisionInputs() const
 {
   PartDivision::Inputs inputs;
-  for (const Member& member : election_.KnownMembers()) {
+  election_.VisitMembers([&inputs](const Member& aMember) {
     inputs.endpointsPerLeader = std::max(
-      inputs.endpointsPerLeader, PartDivision::EndpointsPerLeader(member));
-  }
+      inputs.endpointsPerLeader, PartDivision::EndpointsPerLeader(aMember));
+  });
   inputs.isOtherLeaderDivided = election_.IsOtherLeaderDivided();
   return inputs;
 }
--- a/src/leadership/ElectionHeartbeats.cpp
+++ b/src/leadership/ElectionHeartbeats.cpp
@@ -71,13 +71,13 @@
 void LeaderElection::UpdateDistantInterval(MemberState& aState,
                                            bool aHasPeers) const
 {
-  const bool discovering =
-    !aHasPeers || now_ - startedAt_ < 10 * parameters_.discoveryPeriod;
+  const bool needsSeeds =
+    !aHasPeers || now_ - startedAt_ < parameters_.seedContactTime;
   // All daemons hear all leaders, so that the parts know of each other. An
   // address that has not been heard yet is that of a seed.
   aState.wantsReply = token_ != 0 ||
                       (aState.alive && aState.lastHeartbeat.leaderToken != 0) ||
-                      (aState.learnedAs == 0 && discovering);
+                      (aState.learnedAs == 0 && needsSeeds);
   const bool isWanted =
     aState.heard && aState.lastHeartbeat.wantsReply &&
     now_ - aState.heardAt <= 2 * parameters_.slowHeartbeatInterval;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -545,16 +545,16 @@
   });
 }
 
-std::vector<Member> LeaderElection::KnownMembers() const
+void LeaderElection::VisitMembers(
+  const std::function<void(const Member&)>& aVisitor) const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  std::vector<Member> known{ self_ };
+  aVisitor(self_);
   for (const auto& [address, state] : members_) {
     if (state.learnedAs != 0) {
-      known.push_back(state.member);
+      aVisitor(state.member);
     }
   }
-  return known;
 }
 
 std::string LeaderElection::Leader() const
