--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -12,6 +12,10 @@
 //! An endpoint that refused for lack of resources gets no starts for this long,
 //! until one of its runs may have ended.
 constexpr Duration kNoRoomDelay{ 30000 };
+//! Limits the delay before a failed poll is retried, which grows with the time
+//! for which the endpoint has not replied. Each retry opens a connection.
+constexpr Duration kMaxPollRetryDelay{ 240000 };
+constexpr std::int64_t kPollRetriesPerSilence = 4;
 
 }
 
@@ -387,10 +391,16 @@
     return;
   }
   endpoint->isPollInFlight = false;
-  endpoint->nextPollAt =
-    now_ +
-    (endpoint->isListed ? policy_.pollRetryDelay : policy_.unlistedPollDelay);
   const bool isFenced = aOutcome == CommandOutcome::Fenced;
+  Duration retryDelay = policy_.unlistedPollDelay;
+  if (endpoint->isListed) {
+    const Duration silence =
+      isFenced ? Duration(0) : now_ - endpoint->lastReplyAt;
+    retryDelay = std::clamp(silence / kPollRetriesPerSilence,
+                            policy_.pollRetryDelay,
+                            kMaxPollRetryDelay);
+  }
+  endpoint->nextPollAt = now_ + retryDelay;
   if (endpoint->isResponding || (isFenced && endpoint->isTakenOver)) {
     LogDecision(aEffects,
                 "endpoint",
