--- a/tests/adapter/OddEntriesTest.cpp
+++ b/tests/adapter/OddEntriesTest.cpp
@@ -104,6 +104,14 @@
   return bytes;
 }
 
+//! A record of the log with its length.
+std::string Frame(const std::string& aKey, const std::string& aValue)
+{
+  std::string record = BigEndian(aKey.size(), 1);
+  record.append(aKey).append(aValue);
+  return BigEndian(record.size(), 4).append(record);
+}
+
 //! Serves one keyed topic over HTTP, in pages of two keys.
 class PagedStore
 {
@@ -563,12 +571,9 @@
     const std::string value = bytes(random.split(), rc::kNominalSize).value();
     EndpointRegistry registry([] { return TimePoint(std::chrono::hours(1)); },
                               [](const std::string&, const std::string&) {});
-    const std::string odd = BigEndian(key.size(), 1) + key + value;
-    const std::string good = BigEndian(1, 1) + "a" + kEndpoint;
-    const auto read = Platform::Detail::DecodeRecords(
-      BigEndian(2, 8) + BigEndian(0, 8) + BigEndian(odd.size(), 4) + odd +
-        BigEndian(good.size(), 4) + good,
-      0);
+    std::string body = BigEndian(2, 8) + BigEndian(0, 8);
+    body.append(Frame(key, value)).append(Frame("a", kEndpoint));
+    const auto read = Platform::Detail::DecodeRecords(body, 0);
     CHECK(read.has_value());
     LONGS_EQUAL(2, read->end);
     registry.Apply(read->records, read->end);
