--- a/src/front/SubmissionTracker.cpp
+++ b/src/front/SubmissionTracker.cpp
@@ -103,6 +103,12 @@
                                  TrackerEffects& aEffects)
 {
   const bool again = !aEntry.leader.empty();
+  if (aEntry.assigned && aEntry.leader != aLeader) {
+    // The earlier leader may lead on without hearing the new one, and would
+    // start the work too. A leader that has stepped down ignores this.
+    aEffects.cancellations.push_back(
+      { aEntry.leader, aEntry.work.id, "handed to another leader" });
+  }
   aEntry.leader = aLeader;
   aEntry.assigned = true;
   aEntry.work.submissions += again ? 1 : 0;
--- a/tests/coordinator/RandomFaultsTest.cpp
+++ b/tests/coordinator/RandomFaultsTest.cpp
@@ -427,6 +427,15 @@
   STRCMP_EQUAL("", RunScenarios(FaultSelection::Any, { 1072 }).c_str());
 }
 
+TEST_GROUP(RandomFaultsEarlierLeader){};
+
+TEST(RandomFaultsEarlierLeader, RunsNoTaskTwice)
+{
+  // Guards against an entry VM that hands work to a leader that it prefers
+  // without withdrawing it from the earlier one, which does not hear the other.
+  STRCMP_EQUAL("", RunScenarios(FaultSelection::Any, { 52 }).c_str());
+}
+
 TEST_GROUP(RandomFaultsRecovery){};
 
 TEST(RandomFaultsRecovery, LeavesNoMajorityWithoutLeader)
