--- a/tests/coordinator/RandomFaultsTest.cpp
+++ b/tests/coordinator/RandomFaultsTest.cpp
@@ -459,3 +459,15 @@
   // of an earlier leader have expired, as work that starts before new work.
   STRCMP_EQUAL("", RunScenarios(FaultSelection::Any, { 14, 566, 852 }).c_str());
 }
+
+TEST_GROUP(RandomFaultsParts){};
+
+TEST(RandomFaultsParts, CompletesNewWork)
+{
+  // A leader of one zone refuses some new work 2 s after the last fault.
+  STRCMP_EQUAL(
+    "",
+    (RunScenarios(FaultSelection::Any, { 57, 97, 145 }, kDividingLinkMbps) +
+     RunScenarios(FaultSelection::Lists, { 5, 14, 62 }, kDividingLinkMbps))
+      .c_str());
+}
