--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -14,9 +14,9 @@
   //! How long a poll waits for a run to end. A poll without a reply and another
   //! one fit into a lease.
   Duration pollWait{ 150000 };
-  //! An endpoint without runs is polled at this interval for each endpoint of
-  //! the part, so that these polls do not take up the leader's link and
-  //! processor, but at least after maxIdlePollDelay.
+  //! Interval at which an endpoint without runs is polled, for each endpoint of
+  //! the part, up to maxIdlePollDelay. Polls of idle endpoints must not take up
+  //! the leader's link and processor. Without effect below pollWait.
   Duration idlePollDelayPerEndpoint{ 2500 };
   Duration maxIdlePollDelay{ 500000 };
   //! A start that arrives later is rejected; covers a few round trips and a
