Review: show RECOVER when a large manifest meets a slow link

A reply that needs longer than the store client's time-out is read anew from its start each time, so that restarted daemons never have a configuration.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,21 +1,34 @@
-// Cancels jobs at another daemon than the one whose client waits. Checks that
-// their tasks end in time.
+// The manifest grows by many routes, and all processes are killed right after.
+// Checks the share of later requests that is served, over links of 2 Mbit/s.
 #include "World.hpp"
 
+#include <csignal>
+#include <cstdlib>
+
 using namespace review;
 
 namespace {
 
-constexpr std::size_t kDaemons = 3;
-constexpr int kWorkers = 6;
-constexpr int kJobs = 6;
-constexpr std::int64_t kWorkMs = 7000;
-constexpr std::int64_t kTimeBudgetMs = 12000;
-constexpr std::int64_t kCancelAfterMs = 1000;
-constexpr std::int64_t kCancelMs = 3000; // cancel_ms
-constexpr std::int64_t kStopMs = 50;     // stop_timeout_ms
-//! For delays of this process.
-constexpr std::int64_t kAllowanceMs = 200;
+constexpr std::size_t kDaemons = 6;
+constexpr int kWorkers = 120;
+constexpr double kLinkMbps = 2;
+//! The manifest then has somewhat less than 262,144 bytes (record_bytes).
+constexpr int kManyRoutes = 1326;
+constexpr std::int64_t kIntervalMs = 50;
+constexpr std::int64_t kTimeBudgetMs = 1500;
+constexpr std::int64_t kResendMs = 1300; // retransmit_ms
+constexpr int kMaxTries = 3;
+constexpr std::int64_t kGrowAtMs = 6000;  // After the start of traffic.
+constexpr std::int64_t kFaultAtMs = 9000; // After the start of traffic.
+constexpr std::int64_t kDownMs = 1400;
+constexpr std::int64_t kRecoveryMs = 15000; // recovery_s
+constexpr std::int64_t kWatchMs = 25000;
+
+struct Count
+{
+  int sent = 0;
+  int served = 0;
+};
 
 class Case
 {
@@ -24,101 +37,123 @@
     : world_(aFolder, kDaemons, false)
   {
     for (int i = 0; i < kWorkers; ++i) {
-      world_.AddWorker("worker-" + std::to_string(i + 1),
-                       world_.Daemons()[static_cast<std::size_t>(i % 3)].zone,
-                       "a",
-                       16000);
+      Worker& worker =
+        world_.AddWorker("worker-" + std::to_string(i + 1),
+                         world_.Daemons()[static_cast<std::size_t>(i % 3)].zone,
+                         "a",
+                         16000);
+      world_.After(i * 12, [&worker] { worker.KeepRegistering(); });
     }
-    world_.onBegin = [this](const std::string&,
-                            const Worker&,
-                            const std::string&) { ++begun_; };
+    world_.LimitLinks(kLinkMbps);
   }
 
   int Run()
   {
     world_.StartDaemons();
     world_.WhenReady([this] {
-      world_.After(1000, [this] {
-        for (int i = 0; i < kJobs; ++i) {
-          Submit(i);
-        }
-      });
-      world_.After(1000 + kTimeBudgetMs + 2000, [this] { Judge(); });
+      world_.After(2000, [this] { SendNext(); });
+      if (IsTrouble()) {
+        world_.After(2000 + kGrowAtMs,
+                     [this] { world_.PutManifest(8, kManyRoutes); });
+      }
+      world_.After(2000 + kFaultAtMs, [this] { FinalFault(); });
     });
     return world_.Run();
   }
 
 private:
-  void Submit(int aNumber)
+  Count& CurrentSpan()
   {
-    const json job{ { "spec", std::to_string(kWorkMs) + " 4000" },
+    if (!faulted_) {
+      return before_;
+    }
+    const bool isRecovered = backAt_ >= 0 && NowMs() > backAt_ + kRecoveryMs;
+    return isRecovered ? recovered_ : between_;
+  }
+
+  void SendNext()
+  {
+    const json job{ { "spec", "200 5000" },
                     { "best_effort", true },
                     { "steps",
                       { { { "count", 2 },
-                          { "cpu", 4000 },
+                          { "cpu", 5000 },
                           { "mem_mb", 64 },
-                          { "estimate_ms", kWorkMs } } } } };
-    world_.Send(world_.Daemons()[static_cast<std::size_t>(aNumber) % kDaemons],
-                "POST",
-                world_.prefix + JobId(aNumber),
-                job.dump(),
-                kTimeBudgetMs,
-                [this](const Answer& aAnswer) {
-                  const bool isCompleted =
-                    aAnswer.body.find("completed") != std::string::npos;
-                  completed_ += isCompleted ? 1 : 0;
-                });
-    if (IsTrouble()) {
-      world_.After(kCancelAfterMs, [this, aNumber] { Cancel(aNumber); });
+                          { "estimate_ms", 200 } } } } };
+    Count& span = CurrentSpan();
+    ++span.sent;
+    Submit(world_.prefix + JobId(sent_),
+           job.dump(),
+           static_cast<std::size_t>(std::rand()) % kDaemons,
+           1,
+           span);
+    ++sent_;
+    if (!stopped_) {
+      world_.After(kIntervalMs, [this] { SendNext(); });
     }
   }
 
-  //! The balancer leads the new channel to another daemon.
-  void Cancel(int aNumber)
+  void Submit(const std::string& aPath,
+              const std::string& aBody,
+              std::size_t aDaemon,
+              int aTry,
+              Count& aSpan)
   {
     world_.Send(
-      world_.Daemons()[static_cast<std::size_t>(aNumber + 1) % kDaemons],
-      "DELETE",
-      world_.prefix + JobId(aNumber),
-      "",
-      2000,
-      [this, aNumber](const Answer& aAnswer) {
-        if (aAnswer.status / 100 == 2 || aAnswer.status == 410) {
-          world_.After(kCancelMs + kStopMs + kAllowanceMs,
-                       [this, aNumber] { CheckStopped(aNumber); });
+      world_.Daemons()[aDaemon],
+      "POST",
+      aPath,
+      aBody,
+      kTimeBudgetMs,
+      [this, aPath, aBody, aDaemon, aTry, &aSpan](const Answer& aAnswer) {
+        aSpan.served += aAnswer.status == 200 ? 1 : 0;
+        const bool isFinal = aAnswer.status == 200 || aAnswer.status == 429 ||
+                             aAnswer.status == 503;
+        if (!isFinal && aTry < kMaxTries) {
+          world_.After(kResendMs, [this, aPath, aBody, aDaemon, aTry, &aSpan] {
+            Submit(aPath, aBody, (aDaemon + 1) % kDaemons, aTry + 1, aSpan);
+          });
         }
       });
   }
 
-  void CheckStopped(int aNumber)
+  void FinalFault()
   {
-    for (const auto& [task, workers] : world_.running) {
-      if (task.rfind(JobId(aNumber), 0) == 0 && !workers.empty()) {
-        ++late_;
-        world_.Record("UNASKED: " + task + " runs on " + *workers.begin() +
-                      " over " + std::to_string(kCancelMs + kStopMs) +
-                      " ms after the cancelling of its job was acknowledged");
-      }
+    faulted_ = true;
+    for (DaemonProcess& daemon : world_.Daemons()) {
+      world_.Kill(daemon, SIGKILL);
     }
+    world_.After(kDownMs, [this] {
+      world_.StartDaemons();
+      backAt_ = NowMs();
+      world_.After(kRecoveryMs + kWatchMs, [this] { stopped_ = true; });
+      world_.After(kRecoveryMs + kWatchMs + 7000, [this] { Judge(); });
+    });
   }
 
   void Judge()
   {
     const std::string text =
-      std::to_string(begun_) + " runs began, " + std::to_string(completed_) +
-      " of " + std::to_string(kJobs) + " jobs were said to be completed, " +
-      std::to_string(late_) + " tasks of cancelled jobs ran on";
-    if (begun_ == 0 || (!IsTrouble() && completed_ != kJobs)) {
+      "served before the final fault: " + std::to_string(before_.served) +
+      " of " + std::to_string(before_.sent) +
+      "; of those sent over 15 s after the machines were back: " +
+      std::to_string(recovered_.served) + " of " +
+      std::to_string(recovered_.sent);
+    if (before_.sent == 0 || 4 * before_.served < before_.sent) {
       world_.Finish(2, text);
     } else {
-      world_.Finish(late_ > 0 ? 1 : 0, text);
+      world_.Finish(4 * recovered_.served < recovered_.sent ? 1 : 0, text);
     }
   }
 
   World world_;
-  int begun_ = 0;
-  int completed_ = 0;
-  int late_ = 0;
+  Count before_;
+  Count between_;
+  Count recovered_;
+  int sent_ = 0;
+  std::int64_t backAt_ = -1;
+  bool faulted_ = false;
+  bool stopped_ = false;
 };
 
 }
--- a/review/standins/World.cc
+++ b/review/standins/World.cc
@@ -99,6 +99,7 @@
 {
   Session(tcp::socket aSocket, std::shared_ptr<Server> aServer)
     : stream(std::move(aSocket))
+    , timer(stream.get_executor())
     , server(std::move(aServer))
   {
   }
@@ -131,21 +132,58 @@
       lost = true;
       return;
     }
-    auto response = std::make_shared<http::response<http::string_body>>();
-    response->result(aStatus);
-    response->body() = std::move(aBody);
-    response->prepare_payload();
-    http::async_write(stream,
-                      *response,
-                      [self = shared_from_this(),
-                       response](beast::error_code aError, std::size_t) {
-                        if (!aError) {
-                          self->Read();
-                        }
-                      });
+    http::response<http::string_body> response;
+    response.result(aStatus);
+    response.body() = std::move(aBody);
+    response.prepare_payload();
+    std::ostringstream text;
+    text << response;
+    outgoing = text.str();
+    sent = 0;
+    WriteChunk();
+  }
+
+  void WriteChunk()
+  {
+    constexpr std::size_t kChunkBytes = 2500;
+    const std::size_t size = server->bytesPerSecond_ > 0
+                               ? std::min(kChunkBytes, outgoing.size() - sent)
+                               : outgoing.size() - sent;
+    const std::int64_t wait = server->ReserveLink(size);
+    if (wait == 0) {
+      WriteNow(size);
+      return;
+    }
+    timer.expires_after(std::chrono::milliseconds(wait));
+    timer.async_wait([self = shared_from_this(), size](beast::error_code) {
+      if (!self->lost) {
+        self->WriteNow(size);
+      }
+    });
+  }
+
+  void WriteNow(std::size_t aSize)
+  {
+    net::async_write(stream,
+                     net::buffer(outgoing.data() + sent, aSize),
+                     [self = shared_from_this(),
+                      aSize](beast::error_code aError, std::size_t) {
+                       self->sent += aSize;
+                       if (aError) {
+                         return;
+                       }
+                       if (self->sent < self->outgoing.size()) {
+                         self->WriteChunk();
+                       } else {
+                         self->Read();
+                       }
+                     });
   }
 
   beast::tcp_stream stream;
+  net::steady_timer timer;
+  std::string outgoing;
+  std::size_t sent = 0;
   std::shared_ptr<Server> server;
   beast::flat_buffer buffer;
   Request request;
@@ -200,6 +238,19 @@
   sessions_.clear();
 }
 
+std::int64_t Server::ReserveLink(std::size_t aBytes)
+{
+  if (bytesPerSecond_ == 0) {
+    return 0;
+  }
+  constexpr double kMsPerSecond = 1000;
+  const auto now = static_cast<double>(NowMs());
+  linkFreeAtMs_ =
+    std::max(linkFreeAtMs_, now) + kMsPerSecond * static_cast<double>(aBytes) /
+                                     static_cast<double>(bytesPerSecond_);
+  return static_cast<std::int64_t>(linkFreeAtMs_ - now);
+}
+
 void Server::SetCut(bool aCut)
 {
   cut_ = aCut;
@@ -207,9 +258,17 @@
 
 Store::Store(World& aWorld, const std::string& aIp, std::uint16_t aPort)
   : world_(aWorld)
-  , server_(std::make_shared<Server>(aWorld.Context(), aIp, aPort))
 {
-  server_->Start([this](const Request& aRequest, Reply aReply) {
+  ServeOverLink(aIp, aPort, 0);
+}
+
+void Store::ServeOverLink(const std::string& aIp,
+                          std::uint16_t aPort,
+                          std::int64_t aBytesPerSecond)
+{
+  servers_.push_back(std::make_shared<Server>(world_.Context(), aIp, aPort));
+  servers_.back()->SetRate(aBytesPerSecond);
+  servers_.back()->Start([this](const Request& aRequest, Reply aReply) {
     Handle(aRequest, std::move(aReply));
   });
 }
@@ -219,7 +278,9 @@
                 const json& aValue)
 {
   topics_[aTopic].push_back({ aKey, aValue.dump() });
-  world_.Record("store " + aTopic + " " + aKey + " = " + aValue.dump());
+  constexpr std::size_t kMaxRecordedBytes = 400;
+  world_.Record("store " + aTopic + " " + aKey + " = " +
+                topics_[aTopic].back().value.substr(0, kMaxRecordedBytes));
 }
 
 void Store::Handle(const Request& aRequest, Reply aReply)
@@ -300,7 +361,7 @@
            { "slots", 8 },
            { "state", "ready" },
            { "cold_remaining_ms", 0 },
-           { "sequence", 1 },
+           { "sequence", sequence_ },
            { "born", bornMs_ },
            { "capacity",
              { { "cpu", cpu_ }, { "mem_mb", 65536 }, { "gpus", 0 } } },
@@ -309,9 +370,17 @@
 
 void Worker::Register()
 {
+  ++sequence_;
   world_.PlatformStore().Put("keyed.servers", id_, Beat());
 }
 
+void Worker::KeepRegistering()
+{
+  constexpr std::int64_t kHeartbeatMs = 1500;
+  Register();
+  world_.After(kHeartbeatMs, [this] { KeepRegistering(); });
+}
+
 void Worker::Boot()
 {
   ++life_;
@@ -695,21 +764,7 @@
   scratch_ = ::mkdtemp(folder);
   ReserveAddresses();
   store_ = std::make_unique<Store>(*this, Ip(0, 7), kStorePort);
-  store_->Put("keyed.op",
-              "config",
-              { { "version", 7 },
-                { "routes",
-                  { { { "name", "callout" },
-                      { "host", host },
-                      { "path_prefix", prefix },
-                      { "service", service },
-                      { "attempts", 3 },
-                      { "priority", 1 },
-                      { "stretch", 4.0 },
-                      { "target_latency_ms", 2000 } } } },
-                { "services",
-                  { { { "name", service }, { "admission_control", true } } } },
-                { "limits", json::object() } });
+  PutManifest(7, 1);
   const char* zones[] = { "akl-otara", "akl-avondale", "akl-takapuna" };
   for (std::size_t i = 0; i < aDaemons; ++i) {
     DaemonProcess daemon;
@@ -846,12 +901,14 @@
                  { "zone", aDaemon.zone },
                  { "ip", aDaemon.proxy ? Ip(2, host) : aDaemon.ip },
                  { "cores", 0.25 },
-                 { "linkMbps", 1000.0 },
+                 { "linkMbps", linkMbps_ },
                  { "callers", aDaemon.ip + ":" + std::to_string(kFrontPort) },
                  { "readiness", aDaemon.ip + ":" + std::to_string(kReadyPort) },
                  { "linkPort", kLinkPort },
                  { "seeds", json::array() },
-                 { "log", Ip(0, 7) + ":" + std::to_string(kStorePort) },
+                 { "log",
+                   (linkMbps_ < 1000 ? Ip(4, host) : Ip(0, 7)) + ":" +
+                     std::to_string(kStorePort) },
                  { "endpointLeaseMs", 1000 },
                  { "stopGraceS", 6 },
                  { "metricsPort", kMetricsPort },
@@ -893,6 +950,46 @@
   Record("daemon " + aDaemon.name + " starts");
 }
 
+void World::LimitLinks(double aMbps)
+{
+  // Of each packet of 1,500 bytes, 52 are headers.
+  constexpr double kBytesPerMbit = 125000.0 * 1448 / 1500;
+  linkMbps_ = aMbps;
+  for (std::size_t i = 0; i < daemons_.size(); ++i) {
+    store_->ServeOverLink(Ip(4, static_cast<unsigned>(i + 1)),
+                          kStorePort,
+                          static_cast<std::int64_t>(aMbps * kBytesPerMbit));
+  }
+}
+
+void World::PutManifest(std::uint64_t aVersion, int aRoutes)
+{
+  json routes = json::array();
+  for (int i = 0; i < aRoutes; ++i) {
+    const std::string number = std::to_string(i);
+    routes.push_back(
+      { { "name", i == 0 ? "callout" : "r-" + number },
+        { "host", i == 0 ? host : "host" + number + ".example" },
+        { "path_prefix", i == 0 ? prefix : "/queue" + number + "/" },
+        { "kind", "non_idempotent" },
+        { "timeout_ms", 1500 },
+        { "target_latency_ms", 2000 },
+        { "priority", 1 },
+        { "service", service },
+        { "attempts", 3 },
+        { "stretch", 4.0 } });
+  }
+  const json manifest{
+    { "version", aVersion },
+    { "routes", std::move(routes) },
+    { "services", { { { "name", service }, { "admission_control", true } } } },
+    { "limits", json::object() }
+  };
+  Record("the manifest has " + std::to_string(manifest.dump().size()) +
+         " bytes");
+  store_->Put("keyed.op", "config", manifest);
+}
+
 void World::StartDaemons()
 {
   for (DaemonProcess& daemon : daemons_) {
--- a/review/standins/World.hpp
+++ b/review/standins/World.hpp
@@ -53,9 +53,16 @@
   //! Closes the listener and all connections, as when a process dies.
   void Stop();
   void SetCut(bool aCut);
+  //! Limits what it sends over all connections; 0: no limit.
+  void SetRate(std::int64_t aBytesPerSecond)
+  {
+    bytesPerSecond_ = aBytesPerSecond;
+  }
 
 private:
   struct Session;
+  //! Milliseconds until the link has room for these bytes, which it then takes.
+  std::int64_t ReserveLink(std::size_t aBytes);
   void Accept();
 
   net::io_context& context_;
@@ -64,6 +71,8 @@
   Handler handler_;
   std::vector<std::weak_ptr<Session>> sessions_;
   bool cut_ = false;
+  std::int64_t bytesPerSecond_ = 0;
+  double linkFreeAtMs_ = 0;
 };
 
 //! The platform's store: keyed topics that are read with log-newest and
@@ -72,6 +81,10 @@
 {
 public:
   Store(World& aWorld, const std::string& aIp, std::uint16_t aPort);
+  //! Serves at one more address, over a link of this rate: that of one daemon.
+  void ServeOverLink(const std::string& aIp,
+                     std::uint16_t aPort,
+                     std::int64_t aBytesPerSecond);
   void Put(const std::string& aTopic,
            const std::string& aKey,
            const json& aValue);
@@ -89,7 +102,7 @@
                 Reply aReply);
 
   World& world_;
-  std::shared_ptr<Server> server_;
+  std::vector<std::shared_ptr<Server>> servers_;
   std::map<std::string, std::vector<Record>> topics_;
 };
 
@@ -111,6 +124,8 @@
   void SetLabel(std::string aLabel) { label_ = std::move(aLabel); }
   void SetCut(bool aCut);
   void Register();
+  //! Writes its entry every 1.5 s, with the next sequence.
+  void KeepRegistering();
 
   const std::string& Id() const { return id_; }
 
@@ -149,6 +164,7 @@
   const std::int64_t cpu_;
   std::shared_ptr<Server> server_;
   std::uint64_t life_ = 0;
+  std::uint64_t sequence_ = 0;
   bool up_ = false;
   std::int64_t bootedAt_ = 0;
   std::int64_t bornMs_ = 0;
@@ -230,6 +246,10 @@
                     std::int64_t aCpu);
   std::vector<std::unique_ptr<Worker>>& Workers() { return workers_; }
   std::vector<DaemonProcess>& Daemons() { return daemons_; }
+  //! Gives each daemon a link of this rate to the store. Before their start.
+  void LimitLinks(double aMbps);
+  //! Puts a manifest with this many routes, the first of which has workers.
+  void PutManifest(std::uint64_t aVersion, int aRoutes);
   void StartDaemons();
   void StartDaemon(DaemonProcess& aDaemon);
   void Kill(DaemonProcess& aDaemon, int aSignal);
@@ -269,6 +289,7 @@
   net::io_context context_{ 1 };
   std::ofstream record_;
   std::string scratch_;
+  double linkMbps_ = 1000;
   tcp::acceptor lock_{ context_ };
   unsigned base_ = 0; //!< Second byte of the loopback addresses.
   int code_ = 2;
