--- a/review/standins/World.cc
+++ b/review/standins/World.cc
@@ -859,7 +859,17 @@
 {
   constexpr std::int64_t kLimitMs = 110000;
   After(kLimitMs, [this] { Finish(2, "the script took too long"); });
-  context_.run();
+  net::signal_set signals(context_, SIGTERM, SIGINT);
+  signals.async_wait([this](beast::error_code aError, int) {
+    if (!aError) {
+      Finish(2, "the script was ended");
+    }
+  });
+  try {
+    context_.run();
+  } catch (const std::exception& problem) {
+    Finish(2, problem.what()); // The destructor ends the daemons.
+  }
   return code_;
 }
 
