Drop a waiting repeat with its entry VM, and keep one entry VM for each job

A job that came again while the runs of its first submission were being stopped was kept for the stop's end. A leader drops the work of an entry VM once, when it loses it, and left out that repeat: it started the job after the loss, while the entry VM had handed it to the next leader. Two entry VMs could also hold one job, and each hand it to a leader of its own; and an earlier attempt that was handed in late took the place of the repeat, and cancelled it soon after.

Cause: a leader knew no order between the attempts of one job.

Change: the newest attempt has the job; the entry VMs of the others are told, waiting repeats included. A repeat is dropped with its entry VM. The time that it waits counts for its age and its caller's patience.

--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -92,7 +92,7 @@
       SendAnswer(*entry, WorkOutcome::Moved, aReason, Duration(0), aEffects);
     }
     if (entry->restart) {
-      aEffects.answers.push_back({ entry->restart->first,
+      aEffects.answers.push_back({ entry->restart->entryVm,
                                    id,
                                    WorkOutcome::Moved,
                                    std::string(aReason),
@@ -204,16 +204,9 @@
   }
   if (WorkEntry* known = FindWork(aWork.id)) {
     if (known->IsAnswered()) {
-      known->restart.emplace(entryVm, std::move(aWork));
-      LogDecision(
-        aEffects, "submit", known->Spec().id, nullptr, "after its stop");
+      SetRestart(*known, entryVm, std::move(aWork), aEffects);
     } else {
-      known->SetEntryVm(entryVm);
-      LogDecision(aEffects, "submit", known->Spec().id, nullptr, "joined");
-      if (aWork.submissions > known->Spec().submissions) {
-        known->AddSubmissions(aWork.submissions, aWork.priorEndpoints);
-        HoldWork(*known, aEffects);
-      }
+      Join(*known, entryVm, aWork, aEffects);
     }
     return;
   }
@@ -230,6 +223,49 @@
   Admit(aEntryVm, std::move(aWork), aEffects);
 }
 
+void SchedulerState::Join(WorkEntry& aEntry,
+                          const std::string& aEntryVm,
+                          const Work& aWork,
+                          SchedulerEffects& aEffects)
+{
+  const std::string superseded = aEntry.Join(aEntryVm, now_ - aWork.age);
+  LogDecision(aEffects, "submit", aWork.id, nullptr, "joined");
+  aEffects.decisions.back().inputs =
+    "entryVm=" + aEntry.EntryVm() + " superseded=" + superseded +
+    " submissions=" + std::to_string(aWork.submissions);
+  if (!superseded.empty()) {
+    SupersedeAttempt(superseded, aWork.id, aEffects);
+  }
+  if (aWork.submissions > aEntry.Spec().submissions) {
+    aEntry.AddSubmissions(aWork.submissions, aWork.priorEndpoints);
+    HoldWork(aEntry, aEffects);
+  }
+}
+
+void SchedulerState::SetRestart(WorkEntry& aEntry,
+                                const std::string& aEntryVm,
+                                Work aWork,
+                                SchedulerEffects& aEffects)
+{
+  if (aEntry.restart && aEntry.restart->entryVm != aEntryVm) {
+    SupersedeAttempt(aEntry.restart->entryVm, aWork.id, aEffects);
+  }
+  LogDecision(aEffects, "submit", aWork.id, nullptr, "after its stop");
+  aEntry.restart = WorkEntry::Restart{ aEntryVm, std::move(aWork), now_ };
+}
+
+void SchedulerState::SupersedeAttempt(const std::string& aEntryVm,
+                                      const std::string& aWorkId,
+                                      SchedulerEffects& aEffects)
+{
+  aEffects.answers.push_back({ aEntryVm,
+                               aWorkId,
+                               WorkOutcome::Cancelled,
+                               "sent again to another entry VM",
+                               Duration(0),
+                               Duration(0) });
+}
+
 void SchedulerState::SendAnswer(WorkEntry& aEntry,
                                 WorkOutcome aOutcome,
                                 std::string_view aReason,
@@ -275,7 +311,10 @@
   auto restart = std::move(entry->restart);
   works_.erase(aWorkId);
   if (restart) {
-    Submit(restart->first, std::move(restart->second), aEffects);
+    const Duration waited = now_ - restart->arrivedAt;
+    restart->work.age += waited;
+    restart->work.callerTimeout -= waited;
+    Submit(restart->entryVm, std::move(restart->work), aEffects);
   }
 }
 
@@ -288,7 +327,7 @@
   if (entry == nullptr) {
     return;
   }
-  if (entry->restart && entry->restart->first == aEntryVm) {
+  if (entry->restart && entry->restart->entryVm == aEntryVm) {
     entry->restart.reset();
     return;
   }
@@ -308,6 +347,16 @@
     if (entry->EntryVm() == aEntryVm && !entry->IsAnswered()) {
       dropped.push_back(id);
     }
+    if (entry->restart && entry->restart->entryVm == aEntryVm) {
+      // The entry VM hands it to the next leader.
+      aEffects.answers.push_back({ entry->restart->entryVm,
+                                   id,
+                                   WorkOutcome::Cancelled,
+                                   "front lost",
+                                   Duration(0),
+                                   Duration(0) });
+      entry->restart.reset();
+    }
   }
   for (const std::string& id : dropped) {
     Cancel(aEntryVm, id, "front lost", aEffects);
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -166,6 +166,21 @@
                   std::string_view aReason,
                   Duration aRetryAfter,
                   SchedulerEffects& aEffects);
+  //! Another attempt of work that waits or runs.
+  void Join(WorkEntry& aEntry,
+            const std::string& aEntryVm,
+            const Work& aWork,
+            SchedulerEffects& aEffects);
+  //! Keeps an attempt until the runs of the earlier one have been stopped.
+  void SetRestart(WorkEntry& aEntry,
+                  const std::string& aEntryVm,
+                  Work aWork,
+                  SchedulerEffects& aEffects);
+  //! Tells an entry VM that it does not have the newest attempt, so that it
+  //! does not hand the work to another leader.
+  static void SupersedeAttempt(const std::string& aEntryVm,
+                               const std::string& aWorkId,
+                               SchedulerEffects& aEffects);
   //! Answers the work and stops its active runs.
   void FinishWork(WorkEntry& aEntry,
                   WorkOutcome aOutcome,
--- a/src/scheduler/WorkEntry.cpp
+++ b/src/scheduler/WorkEntry.cpp
@@ -17,6 +17,7 @@
   : entryVm_(std::move(aEntryVm))
   , work_(std::move(aWork))
   , arrivedAt_(aNow)
+  , attemptSentAt_(aNow - work_.age)
 {
   std::uint32_t step = 0;
   for (const WorkStep& spec : work_.steps) {
@@ -44,6 +45,18 @@
   }
 }
 
+std::string WorkEntry::Join(std::string_view aEntryVm, TimePoint aSentAt)
+{
+  if (aEntryVm == entryVm_) {
+    return {};
+  }
+  if (aSentAt < attemptSentAt_) {
+    return std::string(aEntryVm);
+  }
+  attemptSentAt_ = aSentAt;
+  return std::exchange(entryVm_, std::string(aEntryVm));
+}
+
 TaskEntry* WorkEntry::Find(std::uint32_t aStep, std::uint32_t aIndex)
 {
   for (TaskEntry& task : tasks_) {
--- a/src/scheduler/WorkEntry.h
+++ b/src/scheduler/WorkEntry.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hemlockhaven::Detail {
@@ -56,7 +57,11 @@
 
   const Work& Spec() const { return work_; }
   const std::string& EntryVm() const { return entryVm_; }
-  void SetEntryVm(std::string aEntryVm) { entryVm_ = std::move(aEntryVm); }
+  //! Another entry VM submitted the same work, which its caller sent at
+  //! aSentAt. The newest attempt has the waiting caller, so its entry VM gets
+  //! the answer. Returns the entry VM that does not, or an empty name if they
+  //! are the same.
+  std::string Join(std::string_view aEntryVm, TimePoint aSentAt);
   //! Other schedulers had the work as well; aSubmissions counts them all.
   void AddSubmissions(std::uint32_t aSubmissions,
                       const EndpointsInUse& aPriorEndpoints);
@@ -100,9 +105,15 @@
   //! predicted task time of each step.
   Duration CriticalPath(const std::vector<Duration>& aStepTimes) const;
 
-  //! Entry VM and work of a submission that came while the runs were being
-  //! stopped; admitted when they have ended.
-  std::optional<std::pair<std::string, Work>> restart;
+  //! A submission that came while the runs were being stopped.
+  struct Restart
+  {
+    std::string entryVm;
+    Work work;
+    TimePoint arrivedAt{};
+  };
+  //! Admitted when the runs have ended.
+  std::optional<Restart> restart;
   //! Runs of an earlier scheduler may exist until then; no task starts before.
   std::optional<TimePoint> heldUntil;
 
@@ -110,6 +121,7 @@
   std::string entryVm_;
   Work work_;
   TimePoint arrivedAt_;
+  TimePoint attemptSentAt_; //!< When the caller sent the newest attempt.
   std::vector<TaskEntry> tasks_;
   std::vector<std::uint32_t> remainingTasks_; //!< Tasks not done, by step.
   std::size_t doneTasks_ = 0;
--- /dev/null
+++ b/tests/support/ManualScheduler.cpp
@@ -0,0 +1,143 @@
+#include "support/ManualScheduler.h"
+
+#include <utility>
+
+namespace hemlockhaven::Testing {
+
+namespace {
+
+constexpr std::int64_t kTickMs = 25;
+
+std::string EndpointName(std::size_t aEndpoint)
+{
+  return "e" + std::to_string(aEndpoint);
+}
+
+Duration Ms(std::int64_t aMilliseconds)
+{
+  return std::chrono::milliseconds(aMilliseconds);
+}
+
+}
+
+ManualScheduler::ManualScheduler(std::size_t aEndpoints)
+  : scheduler_(SchedulerPolicy(), [this] { return now_; })
+{
+  std::vector<ListedEndpoint> listed(aEndpoints);
+  for (std::size_t i = 0; i < aEndpoints; ++i) {
+    listed[i].id = listed[i].address = EndpointName(i);
+    listed[i].capacity = { 1000, 1000, 0 };
+  }
+  Apply(scheduler_.SetEndpoints(listed));
+  Apply(scheduler_.StartTerm(1));
+  Run(1000);
+}
+
+void ManualScheduler::AdvanceTime(std::int64_t aMilliseconds)
+{
+  now_ += Ms(aMilliseconds);
+}
+
+void ManualScheduler::Tick()
+{
+  Apply(scheduler_.Tick());
+}
+
+void ManualScheduler::Run(std::int64_t aMilliseconds)
+{
+  for (std::int64_t elapsed = 0; elapsed < aMilliseconds; elapsed += kTickMs) {
+    AdvanceTime(kTickMs);
+    for (std::size_t i = 0; i < running_.size() + pendingPolls_.size(); ++i) {
+      AnswerPoll(i);
+    }
+    Tick();
+  }
+}
+
+void ManualScheduler::Submit(std::string_view aEntryVm,
+                             std::string_view aId,
+                             std::int64_t aAgeMs,
+                             std::uint32_t aSubmissions)
+{
+  Work work;
+  work.id = aId;
+  work.kind = "k";
+  work.submissions = aSubmissions;
+  work.age = Ms(aAgeMs);
+  work.attempts = 3;
+  work.stretch = 9;
+  work.targetLatency = Ms(100);
+  work.callerTimeout = Ms(30000);
+  WorkStep step;
+  step.count = 1;
+  step.taskResources = { 1000, 64, 0 };
+  step.estimate = Ms(1000);
+  work.steps.push_back(step);
+  Apply(scheduler_.Submit(aEntryVm, std::move(work)));
+}
+
+void ManualScheduler::Cancel(std::string_view aEntryVm, std::string_view aId)
+{
+  Apply(scheduler_.Cancel(aEntryVm, aId, "caller left"));
+}
+
+void ManualScheduler::LoseEntryVm(std::string_view aEntryVm)
+{
+  Apply(scheduler_.OnEntryVmLost(aEntryVm));
+}
+
+void ManualScheduler::EndRuns(std::size_t aEndpoint, RunOutcome aOutcome)
+{
+  const std::string name = EndpointName(aEndpoint);
+  auto& ended = ended_[name];
+  for (const RunKey& run : running_[name]) {
+    ended.push_back({ ended.size() + 1, run, aOutcome });
+  }
+  running_[name].clear();
+}
+
+void ManualScheduler::AnswerPoll(std::size_t aEndpoint)
+{
+  const std::string name = EndpointName(aEndpoint);
+  const auto pending = pendingPolls_.extract(name);
+  if (pending.empty()) {
+    return;
+  }
+  PollReport report;
+  report.incarnationStartMs = 1;
+  report.clockMs = ClockMs();
+  report.running = running_[name];
+  report.ended = ended_[name];
+  Apply(scheduler_.OnPollReply(pending.mapped(), report));
+}
+
+void ManualScheduler::Apply(const SchedulerEffects& aEffects)
+{
+  for (const StopCommand& stop : aEffects.stops) {
+    stops.push_back(stop.run.task.workId);
+  }
+  for (const StartCommand& start : aEffects.starts) {
+    starts.push_back(start.run.task.workId);
+    running_[start.target.endpoint].push_back(start.run);
+    Apply(
+      scheduler_.OnStartReply(start, { CommandOutcome::Accepted, ClockMs() }));
+  }
+  for (const PollCommand& poll : aEffects.polls) {
+    polls.push_back(poll);
+    pendingPolls_[poll.target.endpoint] = poll;
+  }
+  for (const WorkAnswer& answer : aEffects.answers) {
+    if (answer.outcome == WorkOutcome::Cancelled) {
+      cancelled.push_back(answer.entryVm + " " + answer.workId);
+    }
+  }
+}
+
+std::int64_t ManualScheduler::ClockMs() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           now_.time_since_epoch())
+    .count();
+}
+
+}
--- /dev/null
+++ b/tests/support/ManualScheduler.h
@@ -0,0 +1,59 @@
+#ifndef HEMLOCKHAVEN_TESTS_SUPPORT_MANUALSCHEDULER_H
+#define HEMLOCKHAVEN_TESTS_SUPPORT_MANUALSCHEDULER_H
+
+#include "hemlockhaven/scheduler/Scheduler.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hemlockhaven::Testing {
+
+//! A leading scheduler whose clock, ticks and poll replies the test controls
+//! one by one. Each endpoint has room for one task; starts are accepted at
+//! once.
+class ManualScheduler
+{
+public:
+  explicit ManualScheduler(std::size_t aEndpoints);
+
+  void AdvanceTime(std::int64_t aMilliseconds);
+  void Tick();
+  //! Lets time pass with ticks, and answers all polls meanwhile.
+  void Run(std::int64_t aMilliseconds);
+
+  //! Submits work of one task of 1 s that its caller sent aAgeMs before.
+  void Submit(std::string_view aEntryVm,
+              std::string_view aId,
+              std::int64_t aAgeMs = 0,
+              std::uint32_t aSubmissions = 0);
+  void Cancel(std::string_view aEntryVm, std::string_view aId);
+  void LoseEntryVm(std::string_view aEntryVm);
+
+  //! Ends all runs at the endpoint; its next report lists them.
+  void EndRuns(std::size_t aEndpoint, RunOutcome aOutcome);
+  //! Answers the endpoint's pending poll.
+  void AnswerPoll(std::size_t aEndpoint);
+
+  std::vector<std::string> starts; //!< Ids of the started work, in order.
+  std::vector<std::string> stops;
+  //! "ENTRY-VM ID", for each answer with the outcome Cancelled.
+  std::vector<std::string> cancelled;
+  std::vector<PollCommand> polls; //!< All that were sent.
+
+private:
+  void Apply(const SchedulerEffects& aEffects);
+  std::int64_t ClockMs() const;
+
+  TimePoint now_{ std::chrono::hours(1) };
+  Scheduler scheduler_;
+  std::map<std::string, PollCommand> pendingPolls_; //!< By endpoint.
+  std::map<std::string, std::vector<RunKey>> running_;
+  std::map<std::string, std::vector<EndedRun>> ended_;
+};
+
+}
+
+#endif
