--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -25,6 +25,9 @@
   //! An endpoint that has not replied for this long gets no starts; covers a
   //! poll's wait and some round trips.
   Duration responseTimeout{ 350000 };
+  //! Longer gaps between ticks are logged as pauses of the process. The time
+  //! after which a member is lost.
+  Duration maxViewAge{ 350000 };
   //! Delay before a failed poll is retried.
   Duration pollRetryDelay{ 30000 };
   //! Runs of unknown work are stopped after this; entry VMs resubmit their work
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -172,7 +172,9 @@
     "step=" + std::to_string(aTask.step) +
     " index=" + std::to_string(aTask.index) +
     " run=" + std::to_string(aTask.run) +
-    " freeCpuMillis=" + std::to_string(aEndpoint.free.cpuMillis);
+    " freeCpuMillis=" + std::to_string(aEndpoint.free.cpuMillis) +
+    " submissions=" + std::to_string(aEntry.Spec().submissions) +
+    " viewMs=" + std::to_string((now_ - lastTickAt_).count() / 1000);
 
   StartCommand command;
   command.target = TargetOf(aEndpoint);
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -317,6 +317,27 @@
   }
 }
 
+void SchedulerState::LogSecondRun(WorkEntry& aEntry,
+                                  const RunKey& aRun,
+                                  const EndpointEntry& aEndpoint,
+                                  SchedulerEffects& aEffects) const
+{
+  const TaskEntry* task = aEntry.Find(aRun.task.step, aRun.task.index);
+  if (task == nullptr || !task->IsActive() ||
+      task->endpoint == aEndpoint.listed.id) {
+    return;
+  }
+  LogDecision(aEffects, "run", aRun.task.workId, &aEndpoint, "second run");
+  aEffects.decisions.back().inputs =
+    "step=" + std::to_string(aRun.task.step) +
+    " index=" + std::to_string(aRun.task.index) +
+    " run=" + std::to_string(aRun.run) + " own=" + task->endpoint +
+    " ownRun=" + std::to_string(task->run) +
+    " ownStartMs=" + std::to_string((now_ - task->startSentAt).count() / 1000) +
+    " submissions=" + std::to_string(aEntry.Spec().submissions) +
+    " termMs=" + std::to_string((now_ - termStartedAt_).count() / 1000);
+}
+
 void SchedulerState::ApplyRunningRuns(EndpointEntry& aEndpoint,
                                       const PollReport& aReport,
                                       SchedulerEffects& aEffects)
@@ -338,6 +359,9 @@
       });
     if (!known) {
       orphans.push_back({ run, now_, {} });
+      if (entry != nullptr) {
+        LogSecondRun(*entry, run, aEndpoint, aEffects);
+      }
     }
     if (entry != nullptr && !entry->IsAnswered()) {
       AdoptOrphanRuns(*entry, aEffects);
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -9,6 +9,7 @@
 SchedulerState::SchedulerState(const SchedulerPolicy& aPolicy, Clock aClock)
   : policy_(aPolicy)
   , clock_(std::move(aClock))
+  , lastTickAt_(clock_())
   , dice_(1)
 {
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -139,6 +139,11 @@
   void ApplyEndedRuns(EndpointEntry& aEndpoint,
                       const PollReport& aReport,
                       SchedulerEffects& aEffects);
+  //! Logs that an endpoint runs a task that has a run of this leader elsewhere.
+  void LogSecondRun(WorkEntry& aEntry,
+                    const RunKey& aRun,
+                    const EndpointEntry& aEndpoint,
+                    SchedulerEffects& aEffects) const;
   void ApplyRunningRuns(EndpointEntry& aEndpoint,
                         const PollReport& aReport,
                         SchedulerEffects& aEffects);
@@ -207,6 +212,12 @@
   bool KnowsEndpoints(const EndpointsInUse& aEndpoints) const;
   //! Whether an endpoint that has not replied may run tasks of the work.
   bool MayHaveUnseenRuns(const WorkEntry& aEntry) const;
+  //! Whether the last tick is so long ago that members of the view may have
+  //! been lost since, as in a process that was paused.
+  bool IsViewOutdated() const
+  {
+    return now_ - lastTickAt_ > policy_.maxViewAge;
+  }
   //! Requests a new term if one is wanted and the current one has lasted long
   //! enough.
   void RequestNewTerm(SchedulerEffects& aEffects) const;
@@ -219,6 +230,7 @@
   Clock clock_;
   TimePoint now_{}; //!< Time of the current call.
   std::uint64_t token_ = 0;
+  TimePoint lastTickAt_;
   TimePoint termStartedAt_{};
   //! Work of another leader was submitted in this term.
   bool isNewTermWanted_ = false;
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -157,9 +157,19 @@
 
 void SchedulerState::Tick(SchedulerEffects& aEffects)
 {
+  const bool wasOutdated = IsViewOutdated();
+  const Duration sinceLastTick = now_ - lastTickAt_;
+  lastTickAt_ = now_;
   if (!IsLeading()) {
     return;
   }
+  if (wasOutdated) {
+    LogDecision(aEffects, "lead", "", nullptr, "resumed after a pause");
+    aEffects.decisions.back().inputs =
+      "pauseMs=" + std::to_string(sinceLastTick.count() / 1000) +
+      " works=" + std::to_string(works_.size()) +
+      " queued=" + std::to_string(queue_.size());
+  }
   RequestNewTerm(aEffects);
   std::vector<std::string> ids;
   for (auto& [id, endpoint] : endpoints_) {
--- a/tests/support/ManualScheduler.cpp
+++ b/tests/support/ManualScheduler.cpp
@@ -96,6 +96,11 @@
   running_[name].clear();
 }
 
+void ManualScheduler::AddRun(std::size_t aEndpoint, const RunKey& aRun)
+{
+  running_[EndpointName(aEndpoint)].push_back(aRun);
+}
+
 void ManualScheduler::AnswerPoll(std::size_t aEndpoint)
 {
   const std::string name = EndpointName(aEndpoint);
@@ -126,6 +131,8 @@
     polls.push_back(poll);
     pendingPolls_[poll.target.endpoint] = poll;
   }
+  decisions.insert(
+    decisions.end(), aEffects.decisions.begin(), aEffects.decisions.end());
   for (const WorkAnswer& answer : aEffects.answers) {
     if (answer.outcome == WorkOutcome::Cancelled) {
       cancelled.push_back(answer.entryVm + " " + answer.workId);
--- a/tests/support/ManualScheduler.h
+++ b/tests/support/ManualScheduler.h
@@ -34,6 +34,8 @@
 
   //! Ends all runs at the endpoint; its next report lists them.
   void EndRuns(std::size_t aEndpoint, RunOutcome aOutcome);
+  //! The endpoint runs this too; somebody else started it.
+  void AddRun(std::size_t aEndpoint, const RunKey& aRun);
   //! Answers the endpoint's pending poll.
   void AnswerPoll(std::size_t aEndpoint);
 
@@ -42,6 +44,7 @@
   //! "ENTRY-VM ID", for each answer with the outcome Cancelled.
   std::vector<std::string> cancelled;
   std::vector<PollCommand> polls; //!< All that were sent.
+  std::vector<Decision> decisions;
 
 private:
   void Apply(const SchedulerEffects& aEffects);
