Start nothing and renew no lease on a view from before a pause

A leader that had been paused handled what had arrived meanwhile, before its first tick, and started work whose entry VM had left for another leader on the other side of a partition.

Cause: a check and the action that relies on it were separated by a pause. The view of the members is checked by the tick only; replies and work frames acted on what the last tick had found, however long ago. Boost.Asio handles ready sockets before due timers, so a process that wakes acts first and checks later. Fencing tokens do not help at endpoints that only the paused leader reaches.

Ruled out: the paused leader's own leases; they are reckoned on the endpoint's clock and end during the pause.

Change: a scheduler starts nothing and renews no lease while its last tick is older than the time in which a member is lost. The tick drops the work of lost entry VMs before it dispatches, so that what is left starts there.

--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -25,7 +25,8 @@
   //! An endpoint that has not replied for this long gets no starts; covers a
   //! poll's wait and some round trips.
   Duration responseTimeout{ 350000 };
-  //! Longer gaps between ticks are logged as pauses of the process. The time
+  //! No work is started and no lease renewed if the last tick is longer ago: a
+  //! process that was paused handles its input before its timers. The time
   //! after which a member is lost.
   Duration maxViewAge{ 350000 };
   //! Delay before a failed poll is retried.
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -18,7 +18,8 @@
 
 void SchedulerState::Dispatch(SchedulerEffects& aEffects)
 {
-  if (!IsLeading() || queue_.empty()) {
+  // A tick drops the work of lost entry VMs before it dispatches.
+  if (!IsLeading() || queue_.empty() || IsViewOutdated()) {
     return;
   }
   CollectUsableEndpoints();
