Simulate late processes, links and endpoints in the test cluster

A cluster can handle buffered input before overdue timers, pause between the decision to start a task and the command, hold frames, lose cancel frames, carry commands out late, and let callers send work again while an earlier daemon still holds it. Endpoints may have slow clocks and late timers.

--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kResubmitDelay{ 1300000 };
 //! Commands without a reply fail after this time.
 constexpr Duration kCommandTimeout{ 250000 };
+//! Network delay of a frame that was held before.
+constexpr Duration kHeldFrameDelay{ 1000 };
 constexpr const char* kService = "repairs";
 // Intervals at which a daemon reads the endpoint list: as leader, as follower,
 // and before its first read has succeeded.
@@ -24,6 +26,18 @@
          std::to_string(aTask.index);
 }
 
+//! Drops replies after the first: a caller that has given up gets none.
+template<typename Reply>
+std::function<void(Reply)> FirstOnly(std::function<void(Reply)> aDone)
+{
+  return [done = std::move(aDone),
+          isDone = std::make_shared<bool>(false)](Reply aReply) {
+    if (!std::exchange(*isDone, true)) {
+      done(std::move(aReply));
+    }
+  };
+}
+
 std::string ZoneName(std::size_t aZone)
 {
   return "z" + std::to_string(aZone);
@@ -34,13 +48,11 @@
 Cluster::Cluster(const Options& aOptions)
   : options_(aOptions)
   , dice_(aOptions.seed)
+  , timerDice_(aOptions.seed)
 {
   for (std::size_t i = 0; i < aOptions.endpoints; ++i) {
     endpoints_.push_back(std::make_unique<FakeEndpoint>(
-      Timeline{ time_.AsClock(),
-                [this](Duration aDelay, std::function<void()> aEvent) {
-                  time_.ScheduleAfter(aDelay, std::move(aEvent));
-                } },
+      EndpointTimeline(),
       "e" + std::to_string(i),
       aOptions.capacity,
       aOptions.speeds[i % aOptions.speeds.size()],
@@ -80,6 +92,49 @@
   time_.RunFor(kSettleTime);
 }
 
+Timeline Cluster::EndpointTimeline()
+{
+  const double rate = options_.endpointClockRate;
+  const Duration longestDelay = options_.endpointTimerDelay;
+  if (rate == 1 && longestDelay == Duration(0)) {
+    return { time_.AsClock(),
+             [this](Duration aDelay, std::function<void()> aEvent) {
+               time_.ScheduleAfter(aDelay, std::move(aEvent));
+             } };
+  }
+  const TimePoint start = time_.Now();
+  const auto scaled = [](Duration aDuration, double aFactor) {
+    return Duration(static_cast<std::int64_t>(
+      static_cast<double>(aDuration.count()) * aFactor));
+  };
+  return { [this, start, rate, scaled] {
+            return start + scaled(time_.Now() - start, rate);
+          },
+           [this, rate, longestDelay, scaled](Duration aDelay,
+                                              std::function<void()> aEvent) {
+             time_.ScheduleAfter(scaled(aDelay, 1 / rate) +
+                                   scaled(longestDelay, timerDice_.NextShare()),
+                                 std::move(aEvent));
+           } };
+}
+
+Duration Cluster::SendDelay(std::size_t aDaemon) const
+{
+  return std::max(Duration(0),
+                  daemons_[aDaemon].sendsPausedUntil - time_.Now());
+}
+
+Duration Cluster::DrawFrameDelay(std::size_t aFrom, std::size_t aTo)
+{
+  const Duration delay = DrawNetworkDelay();
+  const TimePoint heldUntil = std::max({ daemons_[aFrom].framesHeldUntil,
+                                         daemons_[aTo].framesHeldUntil,
+                                         daemons_[aFrom].sendsPausedUntil });
+  // Held frames arrive in the order in which they were sent.
+  return heldUntil > time_.Now() ? heldUntil - time_.Now() + kHeldFrameDelay
+                                 : delay;
+}
+
 Duration Cluster::DrawNetworkDelay()
 {
   return Duration(400 + static_cast<std::int64_t>(dice_.NextShare() * 1200));
@@ -181,25 +236,28 @@
 
 void Cluster::ScheduleTick(std::size_t aDaemon, std::uint64_t aIncarnation)
 {
-  RunAtDaemon(aDaemon,
-              aIncarnation,
-              kTickInterval,
-              [this, aDaemon, aIncarnation](Coordinator& aNode) {
-                if (options_.readsEndpointList) {
-                  PollEndpointList(aDaemon);
-                }
-                aNode.Tick();
-                ScheduleTick(aDaemon, aIncarnation);
-              });
+  RunAtDaemon(
+    aDaemon,
+    aIncarnation,
+    kTickInterval,
+    [this, aDaemon, aIncarnation](Coordinator& aNode) {
+      if (options_.readsEndpointList) {
+        PollEndpointList(aDaemon);
+      }
+      aNode.Tick();
+      ScheduleTick(aDaemon, aIncarnation);
+    },
+    EventKind::Timer);
 }
 
 void Cluster::RunAtDaemon(std::size_t aDaemon,
                           std::uint64_t aIncarnation,
                           Duration aDelay,
-                          std::function<void(Coordinator&)> aEvent)
+                          std::function<void(Coordinator&)> aEvent,
+                          EventKind aKind)
 {
   time_.ScheduleAfter(
-    aDelay, [this, aDaemon, aIncarnation, event = std::move(aEvent)] {
+    aDelay, [this, aDaemon, aIncarnation, aKind, event = std::move(aEvent)] {
       DaemonState& node = daemons_[aDaemon];
       if (!node.up || node.incarnation != aIncarnation) {
         return;
@@ -207,8 +265,14 @@
       if (time_.Now() < node.pausedUntil) {
         // Messages that arrive while the process is paused are handled
         // afterwards.
-        RunAtDaemon(
-          aDaemon, aIncarnation, node.pausedUntil - time_.Now(), event);
+        const bool isAfterInput =
+          aKind == EventKind::Timer && options_.handlesInputFirst;
+        RunAtDaemon(aDaemon,
+                    aIncarnation,
+                    node.pausedUntil - time_.Now() +
+                      Duration(isAfterInput ? 1 : 0),
+                    event,
+                    aKind);
         return;
       }
       event(*node.coordinator);
@@ -222,8 +286,10 @@
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     if (daemons_[i].member.name == aName && daemons_[i].up &&
         AreLinked(daemons_[aFrom], daemons_[i])) {
-      RunAtDaemon(
-        i, daemons_[i].incarnation, DrawNetworkDelay(), std::move(aEvent));
+      RunAtDaemon(i,
+                  daemons_[i].incarnation,
+                  DrawFrameDelay(aFrom, i),
+                  std::move(aEvent));
       return;
     }
   }
@@ -246,8 +312,17 @@
     RunAtDaemon(aFrom, incarnation, kCommandTimeout, std::move(aLost));
     return;
   }
+  const auto late = lateCommands_.find(index);
+  if (late != lateCommands_.end() && time_.Now() < late->second.until) {
+    RunAtDaemon(aFrom, incarnation, kCommandTimeout, std::move(aLost));
+    time_.ScheduleAfter(late->second.delay,
+                        [this, index, order = std::move(aCommand)] {
+                          order(*endpoints_[index]);
+                        });
+    return;
+  }
   time_.ScheduleAfter(
-    DrawNetworkDelay(),
+    DrawNetworkDelay() + SendDelay(aFrom),
     [this, index, order = std::move(aCommand)] { order(*endpoints_[index]); });
 }
 
@@ -294,6 +369,9 @@
   hooks.sendCancel = [this, aDaemon, name](std::string_view aMember,
                                            std::string_view aWorkId,
                                            std::string_view aReason) {
+    if (time_.Now() < daemons_[aDaemon].cancelsLostUntil) {
+      return;
+    }
     SendToMember(
       aDaemon,
       aMember,
@@ -301,43 +379,50 @@
         Coordinator& aNode) { aNode.OnCancel(name, id, reason); });
   };
   hooks.start = [this, aDaemon, answer](const StartCommand& aCommand,
-                                        auto aDone) {
+                                        auto aReplied) {
+    DaemonState& node = daemons_[aDaemon];
+    if (node.pauseBeforeStart > Duration(0)) {
+      node.sendsPausedUntil = node.pausedUntil =
+        time_.Now() + std::exchange(node.pauseBeforeStart, Duration(0));
+    }
+    const auto done = FirstOnly(std::move(aReplied));
     const std::string id = aCommand.target.endpoint;
     SendToEndpoint(
       aDaemon,
       id,
-      [this, aCommand, id, aDone, answer](FakeEndpoint& aEndpoint) {
+      [this, aCommand, id, done, answer](FakeEndpoint& aEndpoint) {
         answer(
           id,
-          aDone,
+          done,
           aEndpoint.Start(aCommand, taskResources_[aCommand.run.task.workId]));
       },
-      [aDone](Coordinator&) { aDone(CommandReply()); });
+      [done](Coordinator&) { done(CommandReply()); });
   };
   hooks.stop = [this, aDaemon, answer](const StopCommand& aCommand,
-                                       auto aDone) {
+                                       auto aReplied) {
+    const auto done = FirstOnly(std::move(aReplied));
     const std::string id = aCommand.target.endpoint;
     SendToEndpoint(
       aDaemon,
       id,
-      [aCommand, id, aDone, answer](FakeEndpoint& aEndpoint) {
-        answer(id, aDone, aEndpoint.Stop(aCommand));
+      [aCommand, id, done, answer](FakeEndpoint& aEndpoint) {
+        answer(id, done, aEndpoint.Stop(aCommand));
       },
-      [aDone](Coordinator&) { aDone(CommandReply()); });
+      [done](Coordinator&) { done(CommandReply()); });
   };
   hooks.poll = [this, aDaemon, answer](const PollCommand& aCommand,
-                                       auto aDone) {
+                                       auto aReplied) {
+    const auto done = FirstOnly(std::move(aReplied));
     const std::string id = aCommand.target.endpoint;
     SendToEndpoint(
       aDaemon,
       id,
-      [aCommand, id, aDone, answer](FakeEndpoint& aEndpoint) {
-        aEndpoint.Look(aCommand,
-                       [id, aDone, answer](const PollResult& aResult) {
-                         answer(id, aDone, aResult);
-                       });
+      [aCommand, id, done, answer](FakeEndpoint& aEndpoint) {
+        aEndpoint.Look(aCommand, [id, done, answer](const PollResult& aResult) {
+          answer(id, done, aResult);
+        });
       },
-      [aDone](Coordinator&) { aDone(PollResult()); });
+      [done](Coordinator&) { done(PollResult()); });
   };
   hooks.logDecision = [this, name](const Decision& aDecision) {
     if (trace) {
@@ -373,7 +458,7 @@
               incarnation,
               DrawNetworkDelay(),
               [this, aDaemon, aWork, aSent](Coordinator& aNode) {
-                aNode.Accept(
+                waiterIds_[aWork.id] = aNode.Accept(
                   aWork,
                   [this, aDaemon, aWork, aSent](const CallerAnswer& aAnswer) {
                     const auto found = pendingCallers_.find(aWork.id);
@@ -402,6 +487,40 @@
   });
 }
 
+void Cluster::SubmitAgain(const std::string& aWorkId, std::size_t aDaemon)
+{
+  const auto found = pendingCallers_.find(aWorkId);
+  if (found != pendingCallers_.end()) {
+    const auto [again, sent] = found->second.second;
+    SendToDaemon(aDaemon, again, sent);
+  }
+}
+
+void Cluster::Disconnect(const std::string& aWorkId)
+{
+  const auto found = pendingCallers_.find(aWorkId);
+  if (found == pendingCallers_.end()) {
+    return;
+  }
+  const std::size_t daemon = found->second.first;
+  pendingCallers_.erase(found);
+  RunAtDaemon(daemon,
+              daemons_[daemon].incarnation,
+              DrawNetworkDelay(),
+              [aWorkId, waiter = waiterIds_[aWorkId]](Coordinator& aNode) {
+                aNode.OnCallerDisconnect(aWorkId, waiter);
+              });
+}
+
+std::vector<std::string> Cluster::UnansweredWorks() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, caller] : pendingCallers_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 void Cluster::Kill(std::size_t aDaemon)
 {
   DaemonState& node = daemons_[aDaemon];
@@ -445,6 +564,28 @@
   daemons_[aDaemon].pausedUntil = time_.Now() + aFor;
 }
 
+void Cluster::PauseBeforeStart(std::size_t aDaemon, Duration aFor)
+{
+  daemons_[aDaemon].pauseBeforeStart = aFor;
+}
+
+void Cluster::HoldFrames(std::size_t aDaemon, Duration aFor)
+{
+  daemons_[aDaemon].framesHeldUntil = time_.Now() + aFor;
+}
+
+void Cluster::DropCancels(std::size_t aDaemon, Duration aFor)
+{
+  daemons_[aDaemon].cancelsLostUntil = time_.Now() + aFor;
+}
+
+void Cluster::DelayCommands(std::size_t aEndpoint,
+                            Duration aFor,
+                            Duration aDelay)
+{
+  lateCommands_[aEndpoint] = { time_.Now() + aFor, aDelay };
+}
+
 void Cluster::SetZoneIsolated(std::size_t aZone, bool aIsolated)
 {
   if (aIsolated) {
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -46,6 +46,14 @@
     bool readsEndpointList = false;
     //! Link of each daemon; a small one divides the endpoints by zone.
     double linkMbps = 1000;
+    //! A process that continues after a pause handles buffered input before its
+    //! overdue timers, as Boost.Asio does.
+    bool handlesInputFirst = false;
+    //! Rate of the endpoints' clocks; the platform's may be 2% slow.
+    double endpointClockRate = 1;
+    //! How late the endpoints' timers are at most, so that runs end after their
+    //! lease.
+    Duration endpointTimerDelay{ 0 };
   };
 
   explicit Cluster(const Options& aOptions);
@@ -57,9 +65,27 @@
   //! crashes or reports a timeout, the caller resubmits the work after 1.3 s.
   void Submit(std::size_t aDaemon, Work aWork);
 
+  //! The caller's connection breaks without the daemon's notice, and the caller
+  //! sends the work again to this daemon. Without effect once it is answered.
+  void SubmitAgain(const std::string& aWorkId, std::size_t aDaemon);
+  //! The caller's connection breaks with the daemon's notice; the caller does
+  //! not send the work again.
+  void Disconnect(const std::string& aWorkId);
+  std::vector<std::string> UnansweredWorks() const;
+
   void Kill(std::size_t aDaemon);
   void Restart(std::size_t aDaemon);
   void Pause(std::size_t aDaemon, Duration aFor);
+  //! The process pauses between its next decision to start a task and the
+  //! sending of the command.
+  void PauseBeforeStart(std::size_t aDaemon, Duration aFor);
+  //! Links to and from the daemon deliver all frames after this time.
+  void HoldFrames(std::size_t aDaemon, Duration aFor);
+  //! Cancel frames from the daemon are lost for this time.
+  void DropCancels(std::size_t aDaemon, Duration aFor);
+  //! For this time the endpoint carries commands out aDelay late, without a
+  //! reply.
+  void DelayCommands(std::size_t aEndpoint, Duration aFor, Duration aDelay);
   void SetZoneIsolated(std::size_t aZone, bool aIsolated);
   //! Drops messages between the daemon and daemons in other zones.
   void SetCrossZoneLinksDown(std::size_t aDaemon, bool aDown);
@@ -121,6 +147,10 @@
     bool up = false;
     std::uint64_t incarnation = 0;
     TimePoint pausedUntil{};
+    TimePoint sendsPausedUntil{};
+    Duration pauseBeforeStart{ 0 };
+    TimePoint framesHeldUntil{};
+    TimePoint cancelsLostUntil{};
     // Used with Options::readsEndpointList only.
     std::unique_ptr<Platform::EndpointRegistry> registry;
     std::optional<std::uint64_t> nextOffset;
@@ -131,12 +161,22 @@
 
   void StartDaemon(std::size_t aDaemon);
   CoordinatorHooks MakeHooks(std::size_t aDaemon);
+  enum class EventKind
+  {
+    Input,
+    Timer
+  };
   //! Runs the event at the daemon after the delay, unless the daemon has
   //! crashed or restarted by then.
   void RunAtDaemon(std::size_t aDaemon,
                    std::uint64_t aIncarnation,
                    Duration aDelay,
-                   std::function<void(Coordinator&)> aEvent);
+                   std::function<void(Coordinator&)> aEvent,
+                   EventKind aKind = EventKind::Input);
+  //! Time until what the daemon sends now leaves it.
+  Duration SendDelay(std::size_t aDaemon) const;
+  //! Time until a frame that is sent now arrives.
+  Duration DrawFrameDelay(std::size_t aFrom, std::size_t aTo);
   void SendToMember(std::size_t aFrom,
                     std::string_view aName,
                     std::function<void(Coordinator&)> aEvent);
@@ -156,13 +196,22 @@
   void SendToDaemon(std::size_t aDaemon, const Work& aWork, TimePoint aSent);
   void ScheduleResubmission(const Work& aWork, TimePoint aSent);
   Duration DrawNetworkDelay();
+  Timeline EndpointTimeline();
+
+  struct LateCommands
+  {
+    TimePoint until{};
+    Duration delay{ 0 };
+  };
 
   Options options_;
   VirtualTime time_;
   Dice dice_;
+  Dice timerDice_; //!< Leaves the other draws as they are.
   std::vector<DaemonState> daemons_;
   std::vector<std::unique_ptr<FakeEndpoint>> endpoints_;
   std::set<std::size_t> unresponsive_;
+  std::map<std::size_t, LateCommands> lateCommands_; //!< By endpoint.
   std::set<std::size_t> isolatedZones_;
   std::set<std::size_t> crossZoneLinksDown_; //!< Indices of daemons.
   std::vector<ListedEndpoint> listed_;
@@ -173,6 +222,7 @@
   //! Daemon, work and submission time of each unanswered caller, by work id.
   std::map<std::string, std::pair<std::size_t, std::pair<Work, TimePoint>>>
     pendingCallers_;
+  std::map<std::string, std::uint64_t> waiterIds_; //!< By work id.
   std::vector<std::string> overlappingTasks_;
   std::size_t runCount_ = 0;
 };
