Show that a leader starts work on an outdated view after a pause

A leader that continues after a pause handles buffered replies and work before its first tick. The tick is what marks entry VMs as lost, so that it starts work that they have handed to another leader behind a partition.

--- /dev/null
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -0,0 +1,139 @@
+// Sequences of events after which a task has had two runs at once. Each group
+// guards against one cause.
+#include "support/Cluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace hemlockhaven;
+using namespace hemlockhaven::Testing;
+
+namespace {
+
+constexpr Duration Ms(std::int64_t aMilliseconds)
+{
+  return Duration(aMilliseconds * 1000);
+}
+
+//! Work of one task that fills an endpoint. The id tells its run time, as in
+//! "a-300" for 300 ms.
+Work MakeTask(const std::string& aName, std::int64_t aRunMs)
+{
+  Work work;
+  work.id = aName + "-" + std::to_string(aRunMs);
+  work.kind = work.id;
+  WorkStep step;
+  step.count = 1;
+  step.taskResources = { 1000, 64, 0 };
+  step.estimate = Ms(aRunMs);
+  work.steps.push_back(step);
+  work.attempts = 3;
+  work.stretch = 20;
+  work.targetLatency = Ms(2000);
+  work.callerTimeout = Ms(20000);
+  return work;
+}
+
+Duration RunTimeOf(const TaskKey& aTask)
+{
+  return Ms(std::stoll(aTask.workId.substr(aTask.workId.find('-') + 1)));
+}
+
+//! A cluster with one daemon and one endpoint in each zone.
+struct Roles
+{
+  std::size_t leader = 0;
+  std::size_t second = 0;
+  std::size_t third = 0;
+};
+
+struct OverlapRow
+{
+  const char* guardsAgainst;
+  std::size_t zones;
+  std::function<void(Cluster&, const Roles&)> play;
+};
+
+//! Plays the row. Returns the tasks that had two runs at once.
+std::string PlayRow(const OverlapRow& aRow)
+{
+  Cluster::Options options;
+  options.daemons = aRow.zones;
+  options.zones = aRow.zones;
+  options.endpoints = aRow.zones;
+  options.capacity = { 1000, 65536, 0 };
+  options.handlesInputFirst = true;
+  Cluster cluster(options);
+  cluster.work = RunTimeOf;
+  std::vector<std::string> lines;
+  cluster.trace = [&lines](const std::string& aLine) {
+    lines.push_back(aLine);
+  };
+  const auto leader = cluster.Leader();
+  CHECK_TEXT(leader.has_value(), aRow.guardsAgainst);
+  const Roles roles{ *leader,
+                     (*leader + 1) % aRow.zones,
+                     (*leader + 2) % aRow.zones };
+  aRow.play(cluster, roles);
+  std::string overlapping;
+  for (const std::string& task : cluster.OverlappingTasks()) {
+    overlapping += std::string(aRow.guardsAgainst) + ": " + task + "\n";
+  }
+  if (!overlapping.empty() || std::getenv("HEMLOCKHAVEN_TRACE") != nullptr) {
+    for (const std::string& line : lines) {
+      std::cerr << line << '\n';
+    }
+  }
+  return overlapping;
+}
+
+std::string PlayRows(Span<const OverlapRow> aRows)
+{
+  std::string overlapping;
+  for (const OverlapRow& row : aRows) {
+    overlapping += PlayRow(row);
+  }
+  return overlapping;
+}
+
+const OverlapRow kPausedLeaderRows[] = {
+  { "a leader that continues after a pause and starts waiting work on the "
+    "buffered end of another run, while its entry VM has left for another "
+    "leader",
+    2,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Submit(aRoles.leader, MakeTask("first", 60));
+      aCluster.Submit(aRoles.leader, MakeTask("other", 60));
+      aCluster.Time().RunFor(Ms(8));
+      aCluster.Submit(aRoles.second, MakeTask("waiting", 600));
+      aCluster.Time().RunFor(Ms(8));
+      aCluster.Pause(aRoles.leader, Ms(2100));
+      aCluster.SetZoneIsolated(aRoles.second, true);
+      aCluster.Time().RunFor(Ms(4000));
+    } },
+  { "the same with work that arrived during the pause",
+    2,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Pause(aRoles.leader, Ms(2200));
+      aCluster.Time().RunFor(Ms(200));
+      aCluster.Submit(aRoles.second, MakeTask("arriving", 600));
+      aCluster.Time().RunFor(Ms(20));
+      aCluster.SetZoneIsolated(aRoles.second, true);
+      aCluster.Time().RunFor(Ms(4000));
+    } },
+};
+
+}
+
+TEST_GROUP(OverlapAfterPause){};
+
+TEST(OverlapAfterPause, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kPausedLeaderRows).c_str());
+}
