Show that work held by two entry VMs runs under two leaders

A caller's connection breaks without the entry VM's notice, and the work comes again at another one. The leader takes the second one for the owner. When the first is cut off, it hands the work to a leader of its own, while the earlier leader goes on for the second.

--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -129,6 +129,20 @@
     } },
 };
 
+const OverlapRow kRepeatedWorkRows[] = {
+  { "an entry VM that still holds work which its caller has sent to another "
+    "one, and hands it to a leader of its own",
+    3,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Submit(aRoles.second, MakeTask("held", 4000));
+      aCluster.Time().RunFor(Ms(100));
+      aCluster.SubmitAgain("held-4000", aRoles.third);
+      aCluster.Time().RunFor(Ms(100));
+      aCluster.SetZoneIsolated(aRoles.second, true);
+      aCluster.Time().RunFor(Ms(4000));
+    } },
+};
+
 }
 
 TEST_GROUP(OverlapAfterPause){};
@@ -137,3 +151,10 @@
 {
   STRCMP_EQUAL("", PlayRows(kPausedLeaderRows).c_str());
 }
+
+TEST_GROUP(OverlapOfRepeatedWork){};
+
+TEST(OverlapOfRepeatedWork, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kRepeatedWorkRows).c_str());
+}
