--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -143,6 +143,24 @@
     } },
 };
 
+const OverlapRow kStoppedWorkRows[] = {
+  { "restarting stopped work for an entry VM that was lost before the stop "
+    "had ended",
+    3,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Submit(aRoles.second, MakeTask("stopped", 3000));
+      aCluster.Time().RunFor(Ms(100));
+      aCluster.SetUnresponsive(aRoles.leader, true);
+      aCluster.Time().RunFor(Ms(50));
+      aCluster.Disconnect("stopped-3000");
+      aCluster.Time().RunFor(Ms(20));
+      aCluster.Submit(aRoles.third, MakeTask("stopped", 3000));
+      aCluster.Time().RunFor(Ms(20));
+      aCluster.SetZoneIsolated(aRoles.third, true);
+      aCluster.Time().RunFor(Ms(6000));
+    } },
+};
+
 }
 
 TEST_GROUP(OverlapAfterPause){};
@@ -158,3 +176,10 @@
 {
   STRCMP_EQUAL("", PlayRows(kRepeatedWorkRows).c_str());
 }
+
+TEST_GROUP(OverlapAfterStop){};
+
+TEST(OverlapAfterStop, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kStoppedWorkRows).c_str());
+}
