Show that a restarted endpoint holds a longer lease than the leader counts

A start with a deadline on the clock of the earlier incarnation gives the new one the longest lease that it grants, 1 s. The leader counts 0.6 s.

--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -161,6 +161,26 @@
     } },
 };
 
+//! From a submission to the leader until its start command is on its way.
+constexpr Duration kBeforeStart{ 1200 };
+
+const OverlapRow kRestartedEndpointRows[] = {
+  { "taking the lease of an endpoint that restarted under its id for the "
+    "leader's own, while the deadlines on its earlier clock gave it a longer "
+    "one",
+    2,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Time().RunFor(Ms(3000));
+      aCluster.Submit(aRoles.leader, MakeTask("restarted", 3000));
+      aCluster.Time().RunFor(kBeforeStart);
+      aCluster.CrashEndpoint(0);
+      aCluster.CrashEndpoint(1);
+      aCluster.Time().RunFor(Ms(20));
+      aCluster.SetUnresponsive(aRoles.leader, true);
+      aCluster.Time().RunFor(Ms(4000));
+    } },
+};
+
 }
 
 TEST_GROUP(OverlapAfterPause){};
@@ -183,3 +203,10 @@
 {
   STRCMP_EQUAL("", PlayRows(kStoppedWorkRows).c_str());
 }
+
+TEST_GROUP(OverlapAfterRestart){};
+
+TEST(OverlapAfterRestart, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kRestartedEndpointRows).c_str());
+}
