Show that work sent again across a partition runs twice

A caller's connection goes silent, and the work comes again on the other side of a partition. It is a first submission there and is not held, while the first daemon waits for the caller's deadline.

--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -143,6 +143,20 @@
     } },
 };
 
+const OverlapRow kUnnoticedCallerRows[] = {
+  { "work whose caller's connection went silent, and which is sent again on "
+    "the other side of a partition",
+    2,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Submit(aRoles.leader, MakeTask("silent", 4000));
+      aCluster.Time().RunFor(Ms(100));
+      aCluster.SetZoneIsolated(aRoles.second, true);
+      aCluster.Time().RunFor(Ms(1300));
+      aCluster.SubmitAgain("silent-4000", aRoles.second);
+      aCluster.Time().RunFor(Ms(2000));
+    } },
+};
+
 const OverlapRow kStoppedWorkRows[] = {
   { "restarting stopped work for an entry VM that was lost before the stop "
     "had ended",
@@ -197,6 +211,13 @@
   STRCMP_EQUAL("", PlayRows(kRepeatedWorkRows).c_str());
 }
 
+TEST_GROUP(OverlapOfUnnoticedCaller){};
+
+TEST(OverlapOfUnnoticedCaller, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kUnnoticedCallerRows).c_str());
+}
+
 TEST_GROUP(OverlapAfterStop){};
 
 TEST(OverlapAfterStop, RunsNoTaskTwice)
