Count the longest lease that an endpoint grants after its restart

What callers saw (TWICE, in a test): a task ran again 0.65 s after its endpoint fell silent, while the endpoint held the run for 1 s.

Cause: a start was on its way while the endpoint restarted under its id. Its deadline, on the clock of the earlier incarnation, is far ahead on the new one, so that the endpoint grants its longest lease. The leader counted its own.

Change: after a reply whose clock is behind by more than a late reply explains, and after the first report of a new incarnation, the longest lease counts.

Evidence: coordinator.OverlapAfterRestart failed before (overlap of 328 ms) and passes now. Not covered: a start whose reply is lost as well.

coordinator.OverlapOfUnnoticedCaller is listed as known red.

--- a/include/hemlockhaven/scheduler/EndpointLease.h
+++ b/include/hemlockhaven/scheduler/EndpointLease.h
@@ -19,6 +19,11 @@
 
   //! The endpoint's clock read aClockMs at some time before aNow.
   void ObserveClock(std::int64_t aClockMs, TimePoint aNow);
+  //! Whether the reading is from before aNow - aAge on the clock as it is
+  //! known: a very late reply, or one of another incarnation.
+  bool IsEarlierThan(Duration aAge,
+                     std::int64_t aClockMs,
+                     TimePoint aNow) const;
 
   //! The time on the endpoint's clock that is at most aDuration from now, so
   //! that no lease lasts for longer; nullopt while its clock is unknown.
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -11,6 +11,8 @@
 {
   //! Lease of all runs at an endpoint; limited by what endpoints grant.
   Duration lease{ 600000 };
+  //! Longest lease that an endpoint grants, whatever the deadline.
+  Duration maxGrantedLease{ 1000000 };
   //! How long a poll waits for a run to end. A poll without a reply and another
   //! one fit into a lease.
   Duration pollWait{ 150000 };
--- a/src/scheduler/EndpointLease.cpp
+++ b/src/scheduler/EndpointLease.cpp
@@ -26,6 +26,14 @@
   observedAt_ = aNow;
 }
 
+bool EndpointLease::IsEarlierThan(Duration aAge,
+                                  std::int64_t aClockMs,
+                                  TimePoint aNow) const
+{
+  return isClockKnown_ &&
+         static_cast<double>(aClockMs) < MinClockMs(aNow - aAge);
+}
+
 std::optional<std::int64_t> EndpointLease::DeadlineIn(Duration aDuration,
                                                       TimePoint aNow) const
 {
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -120,6 +120,12 @@
   // The endpoint may have rejected it because of this daemon's own next term.
   const bool isOldTerm = aCommand.target.fencingToken != token_;
   if (aReply.clockMs > 0) {
+    if (endpoint->lease.IsEarlierThan(
+          policy_.responseTimeout, aReply.clockMs, now_)) {
+      // Another incarnation took the deadline, which is on the clock of the one
+      // before and far ahead on its own.
+      endpoint->lease.ExtendBy(policy_.maxGrantedLease, now_);
+    }
     endpoint->lease.ObserveClock(aReply.clockMs, now_);
     endpoint->lastReplyAt = now_;
     endpoint->isResponding = true;
@@ -229,7 +235,11 @@
     endpoint->speed = EndpointSpeed();
   }
   endpoint->lease.ObserveClock(aReport.clockMs, now_);
-  if (isFirstPoll || isNewIncarnation) {
+  if (isNewIncarnation) {
+    // Commands with deadlines on the clock of the earlier incarnation, which
+    // are far ahead on this one, may have reached it.
+    endpoint->lease.ExtendBy(policy_.maxGrantedLease, now_);
+  } else if (isFirstPoll) {
     // Until this reply another leader may have renewed the lease.
     endpoint->lease.ExtendBy(policy_.lease, now_);
   }
