Hand no work to the next leader after its caller's deadline

What callers saw: the repeat of a job ended with 504 though it ran.

Change: such work is left for the tick, which answers it.

Evidence: two rows of front.SubmissionTracker; the first failed before (handed in at both leaders), and both pass.

--- a/src/front/SubmissionTracker.cpp
+++ b/src/front/SubmissionTracker.cpp
@@ -244,7 +244,8 @@
     entry.assigned = false;
     entry.unassignedSince = now;
     entry.work.priorEndpoints.Add(usedEndpoints);
-    if (!currentLeader.empty() && currentLeader != aLeader) {
+    if (!currentLeader.empty() && currentLeader != aLeader &&
+        now < entry.deadline) {
       SubmitTo(entry, currentLeader, now, effects);
     }
     return effects;
@@ -283,7 +284,8 @@
       }
       if (aLeader.empty()) {
         entry.unassignedSince = now;
-      } else if (!entry.assigned || entry.leader != aLeader) {
+      } else if ((!entry.assigned || entry.leader != aLeader) &&
+                 now < entry.deadline) { // Else the next tick answers it.
         SubmitTo(entry, aLeader, now, effects);
       }
     }
--- a/tests/front/SubmissionTrackerTest.cpp
+++ b/tests/front/SubmissionTrackerTest.cpp
@@ -63,6 +63,9 @@
     }
   }
 
+  //! Lets time pass without a tick.
+  void Pause(std::int64_t aMilliseconds) { now_ += Ms(aMilliseconds); }
+
   int answers = 0;
   CallerOutcome outcome = CallerOutcome::Unavailable;
   std::uint64_t waiterId = 0;
@@ -132,6 +135,33 @@
     "",
     1,
     CallerOutcome::Completed },
+  { "handing work to the next leader whose caller gave up while this process "
+    "was paused, which would take the place of a repeat there",
+    [](TrackerFixture& aFixture) {
+      aFixture.ChangeLeader("a");
+      aFixture.Accept(500);
+      aFixture.Pause(3000);
+      aFixture.ChangeLeader("b");
+      aFixture.AdvanceTime(25);
+    },
+    "a",
+    "a",
+    1,
+    CallerOutcome::TimedOut },
+  { "the same with work that the earlier leader returned",
+    [](TrackerFixture& aFixture) {
+      aFixture.ChangeLeader("a");
+      aFixture.Accept(500);
+      aFixture.ChangeLeader("");
+      aFixture.Pause(3000);
+      aFixture.ChangeLeader("b");
+      aFixture.Answer("a", WorkOutcome::Moved);
+      aFixture.AdvanceTime(25);
+    },
+    "a",
+    "a",
+    1,
+    CallerOutcome::TimedOut },
   { "waiting without limit for a leader",
     [](TrackerFixture& aFixture) {
       aFixture.Accept();
