--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -204,6 +204,7 @@
     request.header = [&message](std::string_view aName) {
       return ToView(message[beast::string_view(aName.data(), aName.size())]);
     };
+    request.hasCallerLeft = [this] { return Peek() == CallerState::Left; };
     auto onDisconnect = shared_->handler(
       request, [self = shared_from_this()](OutgoingReply aReply) {
         net::dispatch(
@@ -216,6 +217,26 @@
     }
   }
 
+  enum class CallerState
+  {
+    Waits,
+    HasSentMore,
+    Left
+  };
+
+  CallerState Peek()
+  {
+    char byte = 0;
+    const auto peeked = ::recv(
+      stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (peeked > 0) {
+      return CallerState::HasSentMore;
+    }
+    return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)
+             ? CallerState::Waits
+             : CallerState::Left;
+  }
+
   //! Detects a disconnect of the caller while it waits for the reply.
   void WatchDisconnect()
   {
@@ -225,15 +246,11 @@
         if (aError || !self->awaitsReply_) {
           return;
         }
-        char byte = 0;
-        const auto peeked = ::recv(self->stream_.socket().native_handle(),
-                                   &byte,
-                                   1,
-                                   MSG_PEEK | MSG_DONTWAIT);
-        if (peeked > 0) {
+        const CallerState state = self->Peek();
+        if (state == CallerState::HasSentMore) {
           return; // A pipelined request; it is read after this reply.
         }
-        if (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        if (state == CallerState::Waits) {
           self->WatchDisconnect();
           return;
         }
--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -24,6 +24,9 @@
   std::string_view body;
   //! Returns the value of a header, or an empty view if it is absent.
   std::function<std::string_view(std::string_view aName)> header;
+  //! Whether the caller has closed the connection since it sent the request,
+  //! which may have waited in the socket while this process was paused.
+  std::function<bool()> hasCallerLeft;
 };
 
 //! The reply to a request.
--- a/tests/net/HttpTest.cpp
+++ b/tests/net/HttpTest.cpp
@@ -186,6 +186,29 @@
   heldReply = nullptr;        // Must not outlive the I/O context.
 }
 
+// A request may wait in the socket while the process is paused; nobody waits
+// for its answer then, and the caller may have sent it again elsewhere.
+TEST(HttpListener, TellsRequestsOfCallersThatHaveLeft)
+{
+  int handled = 0;
+  HttpFixture fixture(
+    [&handled](const IncomingRequest& aRequest, const ReplyHook& aReply) {
+      handled += aRequest.hasCallerLeft() ? 0 : 1;
+      return Echo(aRequest, aReply);
+    });
+  const std::string_view request =
+    "POST /left HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 2\r\n\r\n{}";
+  {
+    net::ip::tcp::socket caller(fixture.context);
+    caller.connect(
+      { net::ip::make_address("127.0.0.1"), fixture.listener.Port() });
+    net::write(caller, net::buffer(request.data(), request.size()));
+  }
+  const HttpResult other = fixture.SendAndWait(fixture.MakeRequest("/stays"));
+  LONGS_EQUAL(200, other.status);
+  LONGS_EQUAL(1, handled);
+}
+
 TEST(HttpListener, DrainClosesIdleConnectionsAndAnswersPendingRequests)
 {
   ReplyHook heldReply;
