--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -127,6 +127,11 @@
   app.add_option("--network", options.fleet.network, "N of 127.N.x.y")
     ->check(CLI::Range(1, 254));
   app.add_option("--out", options.fleet.folder, "Folder of logs and events");
+  app
+    .add_option("--daemon-program",
+                options.fleet.daemonProgram,
+                "Daemon to play, for example of another build")
+    ->check(CLI::ExistingFile);
   CLI11_PARSE(app, aCount, aArguments);
 
   std::signal(SIGPIPE, SIG_IGN);
