--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <memory>
+#include <utility>
 
 namespace hemlockhaven::Soak {
 
@@ -36,9 +38,9 @@
   SilenceLinks(until);
 }
 
-void FaultPlan::BeginNext(TimePoint aUntil)
+Span<const FaultPlan::Begin> FaultPlan::Faults() const
 {
-  static constexpr std::array<Begin, 18> kFaults{
+  static constexpr std::array<Begin, 18> kPlain{
     &FaultPlan::KillDaemon,          &FaultPlan::StopDaemon,
     &FaultPlan::StopDaemon,          &FaultPlan::PauseDaemon,
     &FaultPlan::HangUpDaemon,        &FaultPlan::KillAllDaemons,
@@ -49,11 +51,36 @@
     &FaultPlan::DisturbStore,        &FaultPlan::CutStore,
     &FaultPlan::ChangeConfiguration, &FaultPlan::ExpireEntries
   };
+  // Those that may set two leaders or two copies of a job against each other
+  // come more often.
+  static constexpr std::array<Begin, 28> kZoned{
+    &FaultPlan::CutZone,         &FaultPlan::CutZone,
+    &FaultPlan::CutZone,         &FaultPlan::CutZone,
+    &FaultPlan::CutEndpoints,    &FaultPlan::CutEndpoints,
+    &FaultPlan::PauseInSeries,   &FaultPlan::PauseInSeries,
+    &FaultPlan::PauseInSeries,   &FaultPlan::PauseLong,
+    &FaultPlan::PauseLong,       &FaultPlan::SlowProcess,
+    &FaultPlan::SlowProcess,     &FaultPlan::ResetCallers,
+    &FaultPlan::ResetCallers,    &FaultPlan::KillAfterAnswer,
+    &FaultPlan::KillAfterAnswer, &FaultPlan::KillDaemon,
+    &FaultPlan::StopDaemon,      &FaultPlan::HangUpDaemon,
+    &FaultPlan::DisturbLinks,    &FaultPlan::ResetLinks,
+    &FaultPlan::KillEndpoint,    &FaultPlan::PauseEndpoint,
+    &FaultPlan::DisturbEndpoint, &FaultPlan::DrainEndpoint,
+    &FaultPlan::DisturbStore,    &FaultPlan::ExpireEntries
+  };
+  return fleet_.Kind().isZoned ? Span<const Begin>(kZoned)
+                               : Span<const Begin>(kPlain);
+}
+
+void FaultPlan::BeginNext(TimePoint aUntil)
+{
   if (SteadyNow() >= aUntil) {
     isOver_ = true;
     return;
   }
-  (this->*kFaults.at(Pick(kFaults.size())))();
+  const Span<const Begin> faults = Faults();
+  (this->*faults[Pick(faults.size())])();
   After(Between(100, 800), [this, aUntil] { BeginNext(aUntil); });
 }
 
@@ -154,17 +181,33 @@
 void FaultPlan::PauseDaemon()
 {
   if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
-    Note("pause daemon " + std::to_string(*daemon));
-    ledger_.Disturbed(*daemon, SteadyNow());
-    fleet_.SignalDaemon(*daemon, SIGSTOP);
-    After(Between(100, 3000), [this, daemon] {
-      ledger_.Disturbed(*daemon, SteadyNow());
-      fleet_.SignalDaemon(*daemon, SIGCONT);
-      takenDaemons_.erase(*daemon);
-    });
+    Pause(
+      *daemon, Between(100, 3000), [this, daemon] { GiveBackDaemon(*daemon); });
   }
 }
 
+void FaultPlan::Pause(std::size_t aDaemon,
+                      Duration aLength,
+                      std::function<void()> aWhenOver)
+{
+  const std::vector<std::size_t> leaders = fleet_.Leaders();
+  const bool leads =
+    std::find(leaders.begin(), leaders.end(), aDaemon) != leaders.end();
+  Note("pause daemon " + std::to_string(aDaemon) + " for " +
+       std::to_string(aLength.count() / 1000) + " ms" +
+       (leads ? ", a leader" : ""));
+  const TimePoint from = SteadyNow();
+  ledger_.Disturbed(aDaemon, from);
+  fleet_.SignalDaemon(aDaemon, SIGSTOP);
+  After(aLength, [this, aDaemon, from, leads, whenOver = std::move(aWhenOver)] {
+    const TimePoint until = SteadyNow();
+    ledger_.Disturbed(aDaemon, until);
+    fleet_.SignalDaemon(aDaemon, SIGCONT);
+    pauses_.push_back({ aDaemon, { from, until }, leads });
+    whenOver();
+  });
+}
+
 void FaultPlan::HangUpDaemon()
 {
   if (const auto daemon = Take(takenDaemons_, fleet_.Daemons())) {
@@ -246,25 +289,39 @@
 {
   if (const auto endpoint = Take(takenEndpoints_, fleet_.Endpoints())) {
     Note("pause endpoint " + std::to_string(*endpoint));
-    fleet_.SignalEndpoint(*endpoint, SIGSTOP);
-    After(Between(100, 3000), [this, endpoint] {
-      fleet_.SignalEndpoint(*endpoint, SIGCONT);
+    PauseEndpointFor(*endpoint, Between(100, 3000), [this, endpoint] {
       takenEndpoints_.erase(*endpoint);
     });
   }
 }
 
+void FaultPlan::PauseEndpointFor(std::size_t aEndpoint,
+                                 Duration aLength,
+                                 std::function<void()> aWhenOver)
+{
+  const TimePoint from = SteadyNow();
+  fleet_.SignalEndpoint(aEndpoint, SIGSTOP);
+  After(aLength, [this, aEndpoint, from, whenOver = std::move(aWhenOver)] {
+    fleet_.SignalEndpoint(aEndpoint, SIGCONT);
+    ledger_.Paused(fleet_.EndpointId(aEndpoint), { from, SteadyNow() });
+    whenOver();
+  });
+}
+
 void FaultPlan::DisturbEndpoint()
 {
   const std::size_t endpoint = Pick(fleet_.Endpoints());
   Note("disturb endpoint " + std::to_string(endpoint));
   if (Pick(3) == 0) {
-    fleet_.EndpointProxy(endpoint).Reset();
+    fleet_.ForEachProxy(endpoint, [](FaultProxy& aProxy) { aProxy.Reset(); });
     return;
   }
-  fleet_.EndpointProxy(endpoint).Set(DrawProxyFault());
-  After(Between(200, 3000),
-        [this, endpoint] { fleet_.EndpointProxy(endpoint).Heal(); });
+  const ProxyFault fault = DrawProxyFault();
+  fleet_.ForEachProxy(endpoint,
+                      [&fault](FaultProxy& aProxy) { aProxy.Set(fault); });
+  After(Between(200, 3000), [this, endpoint] {
+    fleet_.ForEachProxy(endpoint, [](FaultProxy& aProxy) { aProxy.Heal(); });
+  });
 }
 
 void FaultPlan::DrainEndpoint()
@@ -344,11 +401,11 @@
   };
   Note("disturb the store");
   ++storeFaults_;
-  fleet_.Store().SetMode(kModes.at(Pick(kModes.size())));
+  fleet_.SetStoreMode(kModes.at(Pick(kModes.size())));
   After(Between(300, 4000), [this] {
     --storeFaults_;
     storeCleanSince_ = SteadyNow();
-    fleet_.Store().SetMode(StoreStandIn::Mode::Up);
+    fleet_.SetStoreMode(StoreStandIn::Mode::Up);
   });
 }
 
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/fleet/Dice.h"
+#include "soak/EventCounts.h"
 #include "soak/Fleet.h"
 #include "soak/Ledger.h"
 
@@ -33,10 +34,17 @@
   bool IsOver() const { return isOver_ && running_ == 0; }
   //! What was done when, to find the cause of a failure.
   Span<const std::string> History() const { return history_; }
+  PlanCounts Counts() const;
+  //! Between these times a daemon's process stood still.
+  Span<const DaemonPause> Pauses() const { return pauses_; }
+  //! A daemon has answered a caller with success.
+  void Answered(std::size_t aDaemon);
 
 private:
   using Begin = void (FaultPlan::*)();
 
+  //! What the shape draws from.
+  Span<const Begin> Faults() const;
   void BeginNext(TimePoint aUntil);
   void After(Duration aDelay, std::function<void()> aEvent);
   void Note(const std::string& aWhat);
@@ -48,6 +56,14 @@
   ProxyFault DrawProxyFault();
   //! Kills a daemon that was taken; it is started after so long.
   void Kill(std::size_t aDaemon, Duration aStartAfter);
+  //! Pauses a daemon that was taken; the hook gives it back or goes on.
+  void Pause(std::size_t aDaemon,
+             Duration aLength,
+             std::function<void()> aWhenOver);
+  void GiveBackDaemon(std::size_t aDaemon) { takenDaemons_.erase(aDaemon); }
+  void PauseEndpointFor(std::size_t aEndpoint,
+                        Duration aLength,
+                        std::function<void()> aWhenOver);
 
   void KillDaemon();
   void StopDaemon();
@@ -69,6 +85,25 @@
   void CutStore();
   void ChangeConfiguration();
 
+  // Faults of zoned shapes, in ZoneFaults.cpp.
+  void CutZone();
+  //! Around the cut: a leader or another daemon is paused or restarted.
+  void DisturbNearCut(std::size_t aZone, Duration aBegin, Duration aLength);
+  void CutEndpoints();
+  void PauseInSeries();
+  void PauseLong();
+  void SlowProcess();
+  void ResetCallers();
+  void KillAfterAnswer();
+  //! One of the leaders or, if it is not to lead, of all; nothing if another
+  //! signal works on it.
+  std::optional<std::size_t> TakeDrawn(bool aLeads, std::uint64_t aLot);
+  Duration DrawPause();
+  void ContinueSeries(std::size_t aDaemon, unsigned aLeft);
+  //! Lets the process run and stand still in turn until then.
+  void SlowDaemon(std::size_t aDaemon, TimePoint aUntil);
+  void SlowEndpoint(std::size_t aEndpoint, TimePoint aUntil);
+
   boost::asio::io_context& context_;
   Fleet& fleet_;
   Ledger& ledger_;
@@ -82,6 +117,15 @@
   std::size_t running_ = 0; //!< Events that are still to come.
   bool isOver_ = false;
   std::vector<std::string> history_;
+
+  std::optional<std::size_t> cutZone_;
+  std::set<std::size_t> cutEndpoints_;
+  //! Of the kill of the next daemon that answers; the time until its start.
+  std::optional<Duration> startAfterKill_;
+  Duration killAfterAnswer_{ 0 };
+  PlanCounts counts_; //!< Without those that follow from pauses and cuts.
+  std::vector<Period> cuts_; //!< Of zones, that have ended.
+  std::vector<DaemonPause> pauses_;
 };
 
 }
--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -15,14 +16,24 @@
 class FaultProxy::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-  Connection(net::ip::tcp::socket aClient, double aLot)
+  //! Called once, when the client has told its name.
+  using NamedHook = std::function<void(Connection&)>;
+
+  Connection(net::ip::tcp::socket aClient,
+             double aLot,
+             ClientNamer aNamer,
+             NamedHook aNamed)
     : requests_{ std::move(aClient), net::steady_timer(aClient.get_executor()) }
     , answers_{ net::ip::tcp::socket(requests_.from.get_executor()),
                 net::steady_timer(requests_.from.get_executor()) }
     , lot_(aLot)
+    , namer_(std::move(aNamer))
+    , named_(std::move(aNamed))
   {
   }
 
+  std::string_view Client() const { return client_; }
+
   void Start(const Address& aServer)
   {
     answers_.from.async_connect(
@@ -36,12 +47,12 @@
       });
   }
 
-  void Apply(const ProxyFault& aFault)
+  void Apply(const ProxyFault& aFault, bool aIsCut)
   {
     const bool hit = lot_ < aFault.share;
     delay_ = hit ? aFault.delay : Duration(0);
-    Hold(requests_, answers_, hit && aFault.holdsRequests);
-    Hold(answers_, requests_, hit && aFault.holdsAnswers);
+    Hold(requests_, answers_, aIsCut || (hit && aFault.holdsRequests));
+    Hold(answers_, requests_, aIsCut || (hit && aFault.holdsAnswers));
   }
 
   void Silence() { isSilent_ = true; }
@@ -83,6 +94,7 @@
       [self = shared_from_this(), &aWay, &aOther](const ErrorCode& aError,
                                                   std::size_t aCount) {
         aWay.size = aCount;
+        self->Identify(aWay);
         if (self->isSilent_ && &aWay == &self->requests_) {
           if (!aError) {
             self->Read(aWay, aOther);
@@ -103,6 +115,17 @@
       });
   }
 
+  void Identify(const Way& aWay)
+  {
+    if (&aWay != &requests_ || !namer_ || !client_.empty()) {
+      return;
+    }
+    client_ = namer_({ aWay.bytes.data(), aWay.size });
+    if (!client_.empty()) {
+      named_(*this);
+    }
+  }
+
   void Forward(Way& aWay, Way& aOther)
   {
     aWay.pause.expires_after(delay_);
@@ -127,6 +150,9 @@
   Way requests_; //!< From the client.
   Way answers_;  //!< From the server.
   const double lot_;
+  const ClientNamer namer_;
+  const NamedHook named_;
+  std::string client_;
   Duration delay_{ 0 };
   bool isSilent_ = false;
 };
@@ -134,10 +160,12 @@
 FaultProxy::FaultProxy(net::io_context& aContext,
                        const Address& aListen,
                        const Address& aServer,
-                       std::uint64_t aSeed)
+                       std::uint64_t aSeed,
+                       ClientNamer aNamer)
   : acceptor_(aContext, aListen)
   , server_(aServer)
   , dice_(aSeed)
+  , namer_(std::move(aNamer))
 {
   Accept();
 }
@@ -152,9 +180,14 @@
         return;
       }
       if (!aError) {
-        const auto connection =
-          std::make_shared<Connection>(std::move(aSocket), dice_.NextShare());
-        connection->Apply(fault_);
+        const auto connection = std::make_shared<Connection>(
+          std::move(aSocket),
+          dice_.NextShare(),
+          namer_,
+          [this](Connection& aConnection) {
+            aConnection.Apply(fault_, IsCut(aConnection.Client()));
+          });
+        connection->Apply(fault_, IsCut({}));
         connection->Start(server_);
         connections_.push_back(connection);
       }
@@ -165,10 +198,29 @@
 void FaultProxy::Set(const ProxyFault& aFault)
 {
   fault_ = aFault;
+  Apply();
+}
+
+void FaultProxy::Cut(CutScope aScope, CutHook aIsCut)
+{
+  cuts_.at(static_cast<std::size_t>(aScope)) = std::move(aIsCut);
+  Apply();
+}
+
+bool FaultProxy::IsCut(std::string_view aClient) const
+{
+  return std::any_of(
+    cuts_.begin(), cuts_.end(), [aClient](const CutHook& aCut) {
+      return aCut && aCut(aClient);
+    });
+}
+
+void FaultProxy::Apply()
+{
   std::vector<std::weak_ptr<Connection>> alive;
   for (const auto& weak : connections_) {
     if (const auto connection = weak.lock()) {
-      connection->Apply(aFault);
+      connection->Apply(fault_, IsCut(connection->Client()));
       alive.push_back(weak);
     }
   }
@@ -184,14 +236,14 @@
   }
 }
 
-void FaultProxy::Reset()
+void FaultProxy::Reset(const CutHook& aIsCut)
 {
   for (const auto& weak : connections_) {
-    if (const auto connection = weak.lock()) {
+    const auto connection = weak.lock();
+    if (connection && (!aIsCut || aIsCut(connection->Client()))) {
       connection->Reset();
     }
   }
-  connections_.clear();
 }
 
 }
--- /dev/null
+++ b/soak/Shape.cpp
@@ -0,0 +1,110 @@
+#include "soak/Shape.h"
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace hemlockhaven::Soak {
+
+namespace {
+
+Job DrawPlainJob(Dice& aDice)
+{
+  Job job;
+  job.route = "quote";
+  job.tasks = 1 + aDice.Next() % 6;
+  job.workMs = 30 + aDice.Next() % 250;
+  job.cpuMillis = 2000 + aDice.Next() % 4000;
+  job.deadline = std::chrono::seconds(3);
+  return job;
+}
+
+//! A kind of job of the order desk: mean and maximum of tasks and work, and its
+//! share of the jobs in thousandths.
+struct JobKind
+{
+  const char* route;
+  std::uint64_t share;
+  std::uint64_t tasks;
+  std::uint64_t mostTasks;
+  std::uint64_t workMs;
+  std::uint64_t mostWorkMs;
+};
+
+//! Long jobs are drawn five times as often as on the deployment, since only
+//! they outlast leases and repeats.
+constexpr std::array<JobKind, 3> kOrderDeskJobs{ {
+  { "stock", 250, 8, 32, 60, 240 },
+  { "reserve", 250, 4, 16, 900, 3600 },
+  { "price", 500, 2, 8, 200, 800 },
+} };
+
+//! From half of the mean to one and a half of it; one in twelve up to the
+//! maximum.
+std::uint64_t DrawAround(Dice& aDice, std::uint64_t aMean, std::uint64_t aMost)
+{
+  const bool isLarge = aDice.Next() % 12 == 0;
+  const std::uint64_t least = isLarge ? aMean : aMean / 2;
+  const std::uint64_t most = isLarge ? aMost : aMean + aMean / 2;
+  return least + aDice.Next() % (most - least + 1);
+}
+
+Job DrawOrderDeskJob(Dice& aDice)
+{
+  // An objective is the stretch of the longest work and the target on top; an
+  // answer is worth something up to three of them.
+  constexpr std::uint64_t kTargetMs = 60;
+  constexpr std::uint64_t kObjectives = 3;
+  constexpr std::uint64_t kLeastDeadlineMs = 1500;
+  std::uint64_t lot = aDice.Next() % 1000;
+  const JobKind* kind = kOrderDeskJobs.data();
+  while (lot >= kind->share) {
+    lot -= kind->share;
+    ++kind;
+  }
+  Job job;
+  job.route = kind->route;
+  job.tasks = DrawAround(aDice, kind->tasks, kind->mostTasks);
+  job.workMs = DrawAround(aDice, kind->workMs, kind->mostWorkMs);
+  // Two or three tasks fill an endpoint.
+  job.cpuMillis = 20000 + aDice.Next() % 14000;
+  const std::uint64_t objectiveMs = job.workMs * 8 / 5 + kTargetMs;
+  job.deadline = std::chrono::milliseconds(
+    std::max(kLeastDeadlineMs, kObjectives * objectiveMs));
+  return job;
+}
+
+const std::array<Shape, 2>& Shapes()
+{
+  static const std::array<Shape, 2> shapes{ {
+    { "plain",
+      { { "quote", 0, 3 } },
+      DrawPlainJob,
+      0,
+      false,
+      16000,
+      { 0.6, 1.2, 1.2, 1.2 } },
+    { "order-desk",
+      { { "stock", 0, 2 }, { "reserve", 2, 3 }, { "price", 1, 2 } },
+      DrawOrderDeskJob,
+      3,
+      true,
+      64000,
+      { 0.6, 0.6, 0.6, 1, 1, 1, 1.6, 1.6, 1.6 } },
+  } };
+  return shapes;
+}
+
+}
+
+const Shape& ShapeOf(std::string_view aName)
+{
+  for (const Shape& shape : Shapes()) {
+    if (shape.name == aName) {
+      return shape;
+    }
+  }
+  throw std::out_of_range("no shape of this name: " + std::string(aName));
+}
+
+}
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -2,6 +2,7 @@
 // and checks what callers and endpoints see.
 
 #include "soak/Callers.h"
+#include "soak/EventCounts.h"
 #include "soak/FaultPlan.h"
 #include "soak/Fleet.h"
 #include "soak/Ledger.h"
@@ -16,6 +17,7 @@
 #include <functional>
 #include <iostream>
 #include <string>
+#include <string_view>
 
 namespace {
 
@@ -59,8 +61,11 @@
   fleetOptions.folder.append(std::to_string(fleetOptions.network));
   std::filesystem::create_directories(fleetOptions.folder);
   Soak::Fleet fleet(context, fleetOptions, ledger);
-  Soak::Callers callers(context, fleet, ledger, aSeed + 1);
   Soak::FaultPlan plan(context, fleet, ledger, aSeed + 2);
+  Soak::Callers callers(
+    context, fleet, ledger, aSeed + 1, [&plan](std::size_t aDaemon) {
+      plan.Answered(aDaemon);
+    });
   std::vector<std::string> faults;
 
   const auto allServe = [&] { return callers.Served() == fleet.Daemons(); };
@@ -96,12 +101,23 @@
   for (const std::string& line : plan.History()) {
     history << line << '\n';
   }
+  Soak::LogCounts logCounts(plan.Pauses());
+  fleet.ReadLogs([&logCounts](std::size_t aDaemon, std::string_view aLine) {
+    logCounts.Add(aDaemon, aLine);
+  });
+  const std::string counts =
+    logCounts.Text(ledger.CountRuns([&logCounts](const std::string& aJob,
+                                                 const std::string& aEndpoint) {
+      return logCounts.IsUnseenLapse(aJob, aEndpoint);
+    }),
+                   plan.Counts());
+  std::ofstream(fleetOptions.folder + "/counts.json") << counts << '\n';
   std::cout << "seed " << aSeed << ": " << ledger.Requests() << " requests, "
             << ledger.CountStatus(200) << " answered 200, "
             << ledger.CountStatus(429) << " 429, " << ledger.CountStatus(503)
             << " 503, " << ledger.CountStatus(504) << " 504, "
             << ledger.CountStatus(0) << " none; " << plan.History().size()
-            << " faults; " << faults.size() << " broken\n"
+            << " faults; " << faults.size() << " broken\n  " << counts << '\n'
             << std::flush;
   return faults;
 }
@@ -124,6 +140,14 @@
     .add_option("--endpoints", options.fleet.endpoints, "Endpoints, up to 200")
     ->check(CLI::Range(1, 200));
   app.add_option("--callers", options.callers, "Callers");
+  app
+    .add_option_function<std::string>(
+      "--shape",
+      [&options](const std::string& aName) {
+        options.fleet.shape = &Soak::ShapeOf(aName);
+      },
+      "Kind of deployment: plain or order-desk")
+    ->check(CLI::IsMember({ "plain", "order-desk" }));
   app.add_option("--network", options.fleet.network, "N of 127.N.x.y")
     ->check(CLI::Range(1, 254));
   app.add_option("--out", options.fleet.folder, "Folder of logs and events");
--- a/standins/platform/FakeEndpoint.cpp
+++ b/standins/platform/FakeEndpoint.cpp
@@ -105,7 +105,11 @@
   free_ -= aEach;
   const std::uint64_t serial = ++serial_;
   running_[name] = { aCommand.run.task, { aCommand.run.run, aEach, serial } };
-  runHook_({ aCommand.run.task, aCommand.run.run, std::nullopt, time_.now() });
+  runHook_({ aCommand.run.task,
+             aCommand.run.run,
+             std::nullopt,
+             time_.now(),
+             std::nullopt });
   Extend(aCommand.deadlineClockMs);
   const Duration work = failsAll ? Duration(-1) : work_(aCommand.run.task);
   if (work == Duration(0)) {
@@ -134,7 +138,7 @@
   const auto found = running_.find(name);
   if (found != running_.end() &&
       found->second.second.number == aCommand.run.run) {
-    End(name, RunOutcome::Stopped, time_.now());
+    End(name, RunOutcome::Stopped);
   }
   return { CommandOutcome::Accepted, ClockMs() };
 }
@@ -146,11 +150,13 @@
   CheckLease(); // Timers fire late in a process that stood still.
   const auto found = running_.find(aTask);
   if (found != running_.end() && found->second.second.serial == aSerial) {
-    End(aTask, aHow, time_.now());
+    End(aTask, aHow);
   }
 }
 
-void FakeEndpoint::End(const std::string& aTask, RunOutcome aHow, TimePoint aAt)
+void FakeEndpoint::End(const std::string& aTask,
+                       RunOutcome aHow,
+                       std::optional<TimePoint> aLeaseEnd)
 {
   const auto ended = running_.extract(aTask);
   const auto& [task, run] = ended.mapped();
@@ -158,7 +164,7 @@
   auto& highest = highestEnded_[aTask];
   highest = std::max(highest, run.number);
   ended_.push_back({ ++position_, { task, run.number }, aHow });
-  runHook_({ task, run.number, aHow, aAt });
+  runHook_({ task, run.number, aHow, time_.now(), aLeaseEnd });
   std::vector<WaitingLook> looks;
   looks.swap(looks_);
   for (const WaitingLook& look : looks) {
@@ -221,7 +227,11 @@
 void FakeEndpoint::Crash()
 {
   for (const auto& [name, run] : running_) {
-    runHook_({ run.first, run.second.number, RunOutcome::Other, time_.now() });
+    runHook_({ run.first,
+               run.second.number,
+               RunOutcome::Other,
+               time_.now(),
+               std::nullopt });
   }
   running_.clear();
   highestEnded_.clear();
--- a/standins/platform/FakeEndpoint.h
+++ b/standins/platform/FakeEndpoint.h
@@ -27,7 +27,8 @@
   TaskKey task;
   std::uint32_t run = 0;
   std::optional<RunOutcome> outcome; //!< Nothing: it began.
-  TimePoint at{}; //!< A lapsed run ended with its lease, not when that is seen.
+  TimePoint at{};                    //!< When it really began or ended.
+  std::optional<TimePoint> leaseEnd; //!< Of a lapsed run, always before `at`.
 };
 
 //! An endpoint with the platform's rules for tokens, leases, run numbers and
@@ -82,7 +83,9 @@
   };
 
   void Extend(std::int64_t aDeadlineClockMs);
-  void End(const std::string& aTask, RunOutcome aHow, TimePoint aAt);
+  void End(const std::string& aTask,
+           RunOutcome aHow,
+           std::optional<TimePoint> aLeaseEnd = std::nullopt);
   void Finish(std::uint64_t aSerial, const std::string& aTask, RunOutcome aHow);
   void CheckLease();
   PollResult Report() const;
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -186,12 +186,15 @@
   //! Unbuffered, so that a killed process has written what began.
   void Write(const Testing::RunEvent& aEvent) const
   {
-    const json line{ { "atUs", aEvent.at.time_since_epoch().count() },
-                     { "endpoint", id_ },
-                     { "task", Platform::Detail::EncodeTask(aEvent.task) },
-                     { "run", aEvent.run },
-                     { "event",
-                       aEvent.outcome ? NameOf(*aEvent.outcome) : "began" } };
+    json line{ { "atUs", aEvent.at.time_since_epoch().count() },
+               { "endpoint", id_ },
+               { "task", Platform::Detail::EncodeTask(aEvent.task) },
+               { "run", aEvent.run },
+               { "event",
+                 aEvent.outcome ? NameOf(*aEvent.outcome) : "began" } };
+    if (aEvent.leaseEnd) {
+      line["leaseEndUs"] = aEvent.leaseEnd->time_since_epoch().count();
+    }
     const std::string text = line.dump() + '\n';
     if (::write(STDOUT_FILENO, text.data(), text.size()) < 0) {
       std::_Exit(1); // Without its events the checks would be blind.
