Let resets in the soak break one side only

In the shape order-desk-one-sided, resets of callers' connections and of links reach the side that opened them and leave the other one open and silent. The callers of a zone may be reset while it is cut off.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -245,7 +245,11 @@
 {
   const std::size_t daemon = Pick(fleet_.Daemons());
   Note("reset the links to daemon " + std::to_string(daemon));
-  fleet_.LinkProxy(daemon).Reset();
+  if (fleet_.Kind().resetsOneSided) {
+    fleet_.LinkProxy(daemon).ResetClients();
+  } else {
+    fleet_.LinkProxy(daemon).Reset();
+  }
 }
 
 void FaultPlan::SilenceLinks(TimePoint aUntil)
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -94,6 +94,7 @@
   void PauseLong();
   void SlowProcess();
   void ResetCallers();
+  void ResetCallersOf(std::size_t aDaemon);
   void KillAfterAnswer();
   //! One of the leaders or, if it is not to lead, of all; nothing if another
   //! signal works on it.
--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -57,6 +57,15 @@
 
   void Silence() { isSilent_ = true; }
 
+  void ResetClient()
+  {
+    isOrphan_ = true;
+    ErrorCode ignored; // The client may have closed before.
+    requests_.from.set_option(net::socket_base::linger(true, 0), ignored);
+    requests_.from.close(ignored);
+    requests_.pause.cancel();
+  }
+
   void Reset()
   {
     ErrorCode ignored; // Either side may have closed before.
@@ -95,6 +104,13 @@
                                                   std::size_t aCount) {
         aWay.size = aCount;
         self->Identify(aWay);
+        if (self->isOrphan_) {
+          // The server's answers go nowhere until it closes.
+          if (&aWay == &self->answers_ && !aError) {
+            self->Read(aWay, aOther);
+          }
+          return;
+        }
         if (self->isSilent_ && &aWay == &self->requests_) {
           if (!aError) {
             self->Read(aWay, aOther);
@@ -138,7 +154,7 @@
           aOther.from,
           net::buffer(aWay.bytes.data(), aWay.size),
           [self, &aWay, &aOther](const ErrorCode& aFailed, std::size_t) {
-            if (aFailed) {
+            if (aFailed && !self->isOrphan_) {
               self->Reset();
             } else {
               self->Read(aWay, aOther);
@@ -155,6 +171,7 @@
   std::string client_;
   Duration delay_{ 0 };
   bool isSilent_ = false;
+  bool isOrphan_ = false; //!< The client's side was reset by itself.
 };
 
 FaultProxy::FaultProxy(net::io_context& aContext,
@@ -227,6 +244,15 @@
   connections_.swap(alive);
 }
 
+void FaultProxy::ResetClients()
+{
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->ResetClient();
+    }
+  }
+}
+
 void FaultProxy::Silence()
 {
   for (const auto& weak : connections_) {
--- a/soak/FaultProxy.h
+++ b/soak/FaultProxy.h
@@ -65,6 +65,9 @@
   void Mend(CutScope aScope) { Cut(aScope, nullptr); }
   //! Resets all connections, or those of the clients that the hook names.
   void Reset(const CutHook& aIsCut = nullptr);
+  //! Resets the clients' sides only. The server's sides stay open and silent,
+  //! as behind a device that has forgotten the connections.
+  void ResetClients();
   //! Takes in and drops all further bytes towards the server on the connections
   //! that are open; new ones work.
   void Silence();
--- a/soak/Shape.cpp
+++ b/soak/Shape.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <stdexcept>
+#include <utility>
 
 namespace hemlockhaven::Soak {
 
@@ -74,24 +75,38 @@
   return job;
 }
 
-const std::array<Shape, 2>& Shapes()
+Shape PlainShape()
 {
-  static const std::array<Shape, 2> shapes{ {
-    { "plain",
-      { { "quote", 0, 3 } },
-      DrawPlainJob,
-      0,
-      false,
-      16000,
-      { 0.6, 1.2, 1.2, 1.2 } },
-    { "order-desk",
-      { { "stock", 0, 2 }, { "reserve", 2, 3 }, { "price", 1, 2 } },
-      DrawOrderDeskJob,
-      3,
-      true,
-      64000,
-      { 0.6, 0.6, 0.6, 1, 1, 1, 1.6, 1.6, 1.6 } },
-  } };
+  Shape shape;
+  shape.name = "plain";
+  shape.routes = { { "quote", 0, 3 } };
+  shape.drawJob = DrawPlainJob;
+  shape.endpointCpuMillis = 16000;
+  shape.speeds = { 0.6, 1.2, 1.2, 1.2 };
+  return shape;
+}
+
+Shape OrderDeskShape(std::string aName, bool aResetsOneSided)
+{
+  Shape shape;
+  shape.name = std::move(aName);
+  shape.routes = { { "stock", 0, 2 }, { "reserve", 2, 3 }, { "price", 1, 2 } };
+  shape.drawJob = DrawOrderDeskJob;
+  shape.resends = 3;
+  shape.isZoned = true;
+  shape.resetsOneSided = aResetsOneSided;
+  shape.endpointCpuMillis = 64000;
+  shape.speeds = { 0.6, 0.6, 0.6, 1, 1, 1, 1.6, 1.6, 1.6 };
+  return shape;
+}
+
+const std::array<Shape, 3>& Shapes()
+{
+  static const std::array<Shape, 3> shapes{
+    PlainShape(),
+    OrderDeskShape("order-desk", false),
+    OrderDeskShape("order-desk-one-sided", true),
+  };
   return shapes;
 }
 
--- a/soak/Shape.h
+++ b/soak/Shape.h
@@ -41,6 +41,8 @@
   //! Callers send bursts, and each zone reaches endpoints and store by itself,
   //! so that it can be cut off.
   bool isZoned = false;
+  //! Resets reach the side that opened the connection and not the other one.
+  bool resetsOneSided = false;
   std::int64_t endpointCpuMillis = 0;
   std::vector<double> speeds; //!< Of the endpoints, in turn.
 };
--- a/soak/ZoneFaults.cpp
+++ b/soak/ZoneFaults.cpp
@@ -52,7 +52,7 @@
                                Duration aBegin,
                                Duration aLength)
 {
-  const std::size_t kind = Pick(6);
+  const std::size_t kind = Pick(7);
   const bool leads = Pick(4) != 0;
   const std::uint64_t lot = dice_.Next();
   const Duration pause = DrawPause();
@@ -89,6 +89,13 @@
         }
       });
       break;
+    case 5: // Callers of the zone come again, mostly in other zones.
+      After(aBegin + shift, [this, aZone] {
+        for (std::size_t i = aZone; i < fleet_.Daemons(); i += Fleet::kZones) {
+          ResetCallersOf(i);
+        }
+      });
+      break;
     default: // The cut alone.
       break;
   }
@@ -221,11 +228,20 @@
 
 void FaultPlan::ResetCallers()
 {
-  const std::size_t daemon = Pick(fleet_.Daemons());
-  Note("reset the callers of daemon " + std::to_string(daemon));
-  ledger_.Disturbed(daemon, SteadyNow());
+  ResetCallersOf(Pick(fleet_.Daemons()));
+}
+
+void FaultPlan::ResetCallersOf(std::size_t aDaemon)
+{
+  Note("reset the callers of daemon " + std::to_string(aDaemon));
+  ledger_.Disturbed(aDaemon, SteadyNow());
   ++counts_.callerResets;
-  fleet_.CallerProxy(daemon)->Reset();
+  FaultProxy& callers = *fleet_.CallerProxy(aDaemon);
+  if (fleet_.Kind().resetsOneSided) {
+    callers.ResetClients();
+  } else {
+    callers.Reset();
+  }
 }
 
 void FaultPlan::KillAfterAnswer()
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -146,8 +146,8 @@
       [&options](const std::string& aName) {
         options.fleet.shape = &Soak::ShapeOf(aName);
       },
-      "Kind of deployment: plain or order-desk")
-    ->check(CLI::IsMember({ "plain", "order-desk" }));
+      "Kind of deployment")
+    ->check(CLI::IsMember({ "plain", "order-desk", "order-desk-one-sided" }));
   app.add_option("--network", options.fleet.network, "N of 127.N.x.y")
     ->check(CLI::Range(1, 254));
   app.add_option("--out", options.fleet.folder, "Folder of logs and events");
