Wake a paused leader inside of a cut in the soak

The leader of all is paused, its zone is cut off, and it wakes in the cut after others may have started its work. Jobs have more long tasks. The margin after a lapse counts from the lease where the soak had paused the endpoint.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -53,7 +53,8 @@
   };
   // Those that may set two leaders or two copies of a job against each other
   // come more often.
-  static constexpr std::array<Begin, 28> kZoned{
+  static constexpr std::array<Begin, 30> kZoned{
+    &FaultPlan::CutPausedLeader, &FaultPlan::CutPausedLeader,
     &FaultPlan::CutZone,         &FaultPlan::CutZone,
     &FaultPlan::CutZone,         &FaultPlan::CutZone,
     &FaultPlan::CutEndpoints,    &FaultPlan::CutEndpoints,
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -87,6 +87,9 @@
 
   // Faults of zoned shapes, in ZoneFaults.cpp.
   void CutZone();
+  //! A leader is paused, its zone is cut off, and the leader wakes in the cut.
+  void CutPausedLeader();
+  void BeginCut(std::size_t aZone, bool aResets, Duration aLength);
   //! Around the cut: a leader or another daemon is paused or restarted.
   void DisturbNearCut(std::size_t aZone, Duration aBegin, Duration aLength);
   void CutEndpoints();
--- a/soak/Ledger.cpp
+++ b/soak/Ledger.cpp
@@ -186,8 +186,10 @@
           continue;
         }
         ++counts.startsAfterUnseenLapse;
+        const TimePoint end =
+          PauseAtLeaseEnd(run) == nullptr ? run.until : *run.leaseEnd;
         const auto margin =
-          std::chrono::duration_cast<Duration>(ofTask[i + 1].from - run.until);
+          std::chrono::duration_cast<Duration>(ofTask[i + 1].from - end);
         counts.smallestMargin =
           std::min(margin, counts.smallestMargin.value_or(margin));
       }
--- a/soak/Ledger.h
+++ b/soak/Ledger.h
@@ -64,8 +64,8 @@
   Duration longestLapse{ 0 };
   std::size_t startsAfterLapse = 0;
   std::size_t startsAfterUnseenLapse = 0;
-  //! Of the latter, between the real end of the lapsed run and the begin of the
-  //! task's next one; negative while the first endpoint was paused.
+  //! Of the latter, between the end of the lapsed run (of its lease, if the
+  //! endpoint was paused then) and the begin of the task's next one.
   std::optional<Duration> smallestMargin;
   std::size_t resent = 0;
   std::size_t resentWhileRunning = 0;
--- a/soak/Shape.cpp
+++ b/soak/Shape.cpp
@@ -30,21 +30,25 @@
   std::uint64_t mostTasks;
   std::uint64_t workMs;
   std::uint64_t mostWorkMs;
+  std::uint64_t largeOneIn; //!< Work of that share is over the mean.
 };
 
-//! Long jobs are drawn five times as often as on the deployment, since only
-//! they outlast leases and repeats.
+//! Long jobs and long tasks among them are drawn more often than on the
+//! deployment, since only they outlast leases and repeats.
 constexpr std::array<JobKind, 3> kOrderDeskJobs{ {
-  { "stock", 250, 8, 32, 60, 240 },
-  { "reserve", 250, 4, 16, 900, 3600 },
-  { "price", 500, 2, 8, 200, 800 },
+  { "stock", 250, 8, 32, 60, 240, 12 },
+  { "reserve", 250, 4, 16, 900, 3600, 3 },
+  { "price", 500, 2, 8, 200, 800, 12 },
 } };
 
-//! From half of the mean to one and a half of it; one in twelve up to the
-//! maximum.
-std::uint64_t DrawAround(Dice& aDice, std::uint64_t aMean, std::uint64_t aMost)
+//! From half of the mean to one and a half of it; one in so many from the mean
+//! up to the maximum.
+std::uint64_t DrawAround(Dice& aDice,
+                         std::uint64_t aMean,
+                         std::uint64_t aMost,
+                         std::uint64_t aLargeOneIn)
 {
-  const bool isLarge = aDice.Next() % 12 == 0;
+  const bool isLarge = aDice.Next() % aLargeOneIn == 0;
   const std::uint64_t least = isLarge ? aMean : aMean / 2;
   const std::uint64_t most = isLarge ? aMost : aMean + aMean / 2;
   return least + aDice.Next() % (most - least + 1);
@@ -65,8 +69,9 @@
   }
   Job job;
   job.route = kind->route;
-  job.tasks = DrawAround(aDice, kind->tasks, kind->mostTasks);
-  job.workMs = DrawAround(aDice, kind->workMs, kind->mostWorkMs);
+  job.tasks = DrawAround(aDice, kind->tasks, kind->mostTasks, 12);
+  job.workMs =
+    DrawAround(aDice, kind->workMs, kind->mostWorkMs, kind->largeOneIn);
   // Two or three tasks fill an endpoint.
   job.cpuMillis = 20000 + aDice.Next() % 14000;
   const std::uint64_t objectiveMs = job.workMs * 8 / 5 + kTargetMs;
--- a/soak/ZoneFaults.cpp
+++ b/soak/ZoneFaults.cpp
@@ -27,27 +27,49 @@
   }
   cutZone_ = zone;
   DisturbNearCut(zone, begin, length);
-  After(begin, [this, zone, resets, length] {
-    Note("cut zone " + std::to_string(zone) + " off" +
-         (resets ? " with resets" : ""));
-    const TimePoint from = SteadyNow();
-    ++storeFaults_;
-    ++counts_.zoneCuts;
-    fleet_.CutZone(zone);
-    if (resets) {
-      fleet_.ResetZone(zone);
-    }
-    After(length, [this, zone, from] {
-      Note("mend zone " + std::to_string(zone));
-      --storeFaults_;
-      storeCleanSince_ = SteadyNow();
-      fleet_.MendZones();
-      cutZone_.reset();
-      cuts_.push_back({ from, SteadyNow() });
-    });
+  After(begin,
+        [this, zone, resets, length] { BeginCut(zone, resets, length); });
+}
+
+void FaultPlan::BeginCut(std::size_t aZone, bool aResets, Duration aLength)
+{
+  Note("cut zone " + std::to_string(aZone) + " off" +
+       (aResets ? " with resets" : ""));
+  const TimePoint from = SteadyNow();
+  ++storeFaults_;
+  ++counts_.zoneCuts;
+  fleet_.CutZone(aZone);
+  if (aResets) {
+    fleet_.ResetZone(aZone);
+  }
+  After(aLength, [this, aZone, from] {
+    Note("mend zone " + std::to_string(aZone));
+    --storeFaults_;
+    storeCleanSince_ = SteadyNow();
+    fleet_.MendZones();
+    cutZone_.reset();
+    cuts_.push_back({ from, SteadyNow() });
   });
 }
 
+void FaultPlan::CutPausedLeader()
+{
+  const std::uint64_t lot = dice_.Next();
+  const Duration begin = Between(0, 100);
+  // Others hold the leader's work for 1.3 s once they have missed it for 0.4 s.
+  const Duration pause = Between(1000, 3500);
+  const Duration length = pause + Between(200, 1500);
+  if (cutZone_) {
+    return;
+  }
+  if (const auto daemon = TakeDrawn(true, lot)) {
+    cutZone_ = *daemon % Fleet::kZones;
+    Pause(*daemon, pause, [this, daemon] { GiveBackDaemon(*daemon); });
+    After(begin,
+          [this, zone = *cutZone_, length] { BeginCut(zone, false, length); });
+  }
+}
+
 void FaultPlan::DisturbNearCut(std::size_t aZone,
                                Duration aBegin,
                                Duration aLength)
