Add a soak shape with faults of zones alone

Other faults often end a cut's effect before two leaders can disagree, so that order-desk-cuts draws only cuts, resets of callers and pauses in series.

--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -35,7 +35,9 @@
 {
   const TimePoint until = SteadyNow() + aFor;
   BeginNext(until);
-  SilenceLinks(until);
+  if (fleet_.Kind().faults != FaultMix::Cuts) {
+    SilenceLinks(until);
+  }
 }
 
 Span<const FaultPlan::Begin> FaultPlan::Faults() const
@@ -70,8 +72,21 @@
     &FaultPlan::DisturbEndpoint, &FaultPlan::DrainEndpoint,
     &FaultPlan::DisturbStore,    &FaultPlan::ExpireEntries
   };
-  return fleet_.Kind().isZoned ? Span<const Begin>(kZoned)
-                               : Span<const Begin>(kPlain);
+  static constexpr std::array<Begin, 8> kCuts{
+    &FaultPlan::CutPausedLeader, &FaultPlan::CutPausedLeader,
+    &FaultPlan::CutPausedLeader, &FaultPlan::CutZone,
+    &FaultPlan::CutZone,         &FaultPlan::CutEndpoints,
+    &FaultPlan::ResetCallers,    &FaultPlan::PauseInSeries
+  };
+  switch (fleet_.Kind().faults) {
+    case FaultMix::Plain:
+      return kPlain;
+    case FaultMix::Zoned:
+      return kZoned;
+    case FaultMix::Cuts:
+      break;
+  }
+  return kCuts;
 }
 
 void FaultPlan::BeginNext(TimePoint aUntil)
--- a/soak/Shape.cpp
+++ b/soak/Shape.cpp
@@ -91,7 +91,7 @@
   return shape;
 }
 
-Shape OrderDeskShape(std::string aName, bool aResetsOneSided)
+Shape OrderDeskShape(std::string aName, FaultMix aFaults, bool aResetsOneSided)
 {
   Shape shape;
   shape.name = std::move(aName);
@@ -99,18 +99,20 @@
   shape.drawJob = DrawOrderDeskJob;
   shape.resends = 3;
   shape.isZoned = true;
+  shape.faults = aFaults;
   shape.resetsOneSided = aResetsOneSided;
   shape.endpointCpuMillis = 64000;
   shape.speeds = { 0.6, 0.6, 0.6, 1, 1, 1, 1.6, 1.6, 1.6 };
   return shape;
 }
 
-const std::array<Shape, 3>& Shapes()
+const std::array<Shape, 4>& Shapes()
 {
-  static const std::array<Shape, 3> shapes{
+  static const std::array<Shape, 4> shapes{
     PlainShape(),
-    OrderDeskShape("order-desk", false),
-    OrderDeskShape("order-desk-one-sided", true),
+    OrderDeskShape("order-desk", FaultMix::Zoned, false),
+    OrderDeskShape("order-desk-one-sided", FaultMix::Zoned, true),
+    OrderDeskShape("order-desk-cuts", FaultMix::Cuts, false),
   };
   return shapes;
 }
--- a/soak/Shape.h
+++ b/soak/Shape.h
@@ -30,6 +30,14 @@
   Duration deadline{ 0 }; //!< That the caller states.
 };
 
+//! Which faults are drawn.
+enum class FaultMix
+{
+  Plain,
+  Zoned,
+  Cuts, //!< Those of zones alone, so that each cut takes its course.
+};
+
 //! The kind of deployment that a run resembles.
 struct Shape
 {
@@ -41,6 +49,7 @@
   //! Callers send bursts, and each zone reaches endpoints and store by itself,
   //! so that it can be cut off.
   bool isZoned = false;
+  FaultMix faults = FaultMix::Plain;
   //! Resets reach the side that opened the connection and not the other one.
   bool resetsOneSided = false;
   std::int64_t endpointCpuMillis = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -147,7 +147,8 @@
         options.fleet.shape = &Soak::ShapeOf(aName);
       },
       "Kind of deployment")
-    ->check(CLI::IsMember({ "plain", "order-desk", "order-desk-one-sided" }));
+    ->check(CLI::IsMember(
+      { "plain", "order-desk", "order-desk-one-sided", "order-desk-cuts" }));
   app.add_option("--network", options.fleet.network, "N of 127.N.x.y")
     ->check(CLI::Range(1, 254));
   app.add_option("--out", options.fleet.folder, "Folder of logs and events");
