--- a/soak/EventCounts.cpp
+++ b/soak/EventCounts.cpp
@@ -15,7 +15,8 @@
 //! A start so soon after a pause rests on what the daemon knew before it.
 constexpr std::int64_t kAfterWakeMs = 30;
 
-//! The moment as the logs write it; both clocks are this machine's.
+}
+
 std::string LogTime(TimePoint aAt)
 {
   const std::int64_t ms =
@@ -32,8 +33,6 @@
          std::to_string(1000 + ms % 1000).substr(1) + "Z";
 }
 
-}
-
 LogCounts::LogCounts(Span<const DaemonPause> aPauses)
 {
   for (const DaemonPause& pause : aPauses) {
--- a/soak/EventCounts.h
+++ b/soak/EventCounts.h
@@ -14,6 +14,9 @@
 
 namespace hemlockhaven::Soak {
 
+//! The moment as the daemons' logs write it; all clocks are this machine's.
+std::string LogTime(TimePoint aAt);
+
 //! A daemon's process stood still.
 struct DaemonPause
 {
--- a/soak/Ledger.h
+++ b/soak/Ledger.h
@@ -97,6 +97,8 @@
 
   std::size_t Requests() const { return requests_.size(); }
   std::size_t CountStatus(unsigned aStatus) const;
+  //! What each caller saw, to trace a failure.
+  Span<const CallerRecord> Callers() const { return requests_; }
   //! The hook says whether a leader took the lease of a job's run at an
   //! endpoint for lapsed without having been told.
   using UnseenHook =
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -9,6 +9,7 @@
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdlib>
@@ -112,6 +113,17 @@
     }),
                    plan.Counts());
   std::ofstream(fleetOptions.folder + "/counts.json") << counts << '\n';
+  std::ofstream requests(fleetOptions.folder + "/requests.json");
+  for (const Soak::CallerRecord& request : ledger.Callers()) {
+    requests << nlohmann::json{
+      { "id", request.id },
+      { "attempt", request.attempt },
+      { "daemon", request.daemon },
+      { "status", request.status },
+      { "sent", Soak::LogTime(request.sent) },
+      { "ended", Soak::LogTime(request.ended.value_or(request.sent)) },
+    } << '\n';
+  }
   std::cout << "seed " << aSeed << ": " << ledger.Requests() << " requests, "
             << ledger.CountStatus(200) << " answered 200, "
             << ledger.CountStatus(429) << " 429, " << ledger.CountStatus(503)
