--- a/soak/FaultProxy.cpp
+++ b/soak/FaultProxy.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -15,14 +16,24 @@
 class FaultProxy::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-  Connection(net::ip::tcp::socket aClient, double aLot)
+  //! Called once, when the client has told its name.
+  using NamedHook = std::function<void(Connection&)>;
+
+  Connection(net::ip::tcp::socket aClient,
+             double aLot,
+             ClientNamer aNamer,
+             NamedHook aNamed)
     : requests_{ std::move(aClient), net::steady_timer(aClient.get_executor()) }
     , answers_{ net::ip::tcp::socket(requests_.from.get_executor()),
                 net::steady_timer(requests_.from.get_executor()) }
     , lot_(aLot)
+    , namer_(std::move(aNamer))
+    , named_(std::move(aNamed))
   {
   }
 
+  std::string_view Client() const { return client_; }
+
   void Start(const Address& aServer)
   {
     answers_.from.async_connect(
@@ -36,16 +47,25 @@
       });
   }
 
-  void Apply(const ProxyFault& aFault)
+  void Apply(const ProxyFault& aFault, bool aIsCut)
   {
     const bool hit = lot_ < aFault.share;
     delay_ = hit ? aFault.delay : Duration(0);
-    Hold(requests_, answers_, hit && aFault.holdsRequests);
-    Hold(answers_, requests_, hit && aFault.holdsAnswers);
+    Hold(requests_, answers_, aIsCut || (hit && aFault.holdsRequests));
+    Hold(answers_, requests_, aIsCut || (hit && aFault.holdsAnswers));
   }
 
   void Silence() { isSilent_ = true; }
 
+  void ResetClient()
+  {
+    isOrphan_ = true;
+    ErrorCode ignored; // The client may have closed before.
+    requests_.from.set_option(net::socket_base::linger(true, 0), ignored);
+    requests_.from.close(ignored);
+    requests_.pause.cancel();
+  }
+
   void Reset()
   {
     ErrorCode ignored; // Either side may have closed before.
@@ -83,6 +103,14 @@
       [self = shared_from_this(), &aWay, &aOther](const ErrorCode& aError,
                                                   std::size_t aCount) {
         aWay.size = aCount;
+        self->Identify(aWay);
+        if (self->isOrphan_) {
+          // The server's answers go nowhere until it closes.
+          if (&aWay == &self->answers_ && !aError) {
+            self->Read(aWay, aOther);
+          }
+          return;
+        }
         if (self->isSilent_ && &aWay == &self->requests_) {
           if (!aError) {
             self->Read(aWay, aOther);
@@ -103,6 +131,17 @@
       });
   }
 
+  void Identify(const Way& aWay)
+  {
+    if (&aWay != &requests_ || !namer_ || !client_.empty()) {
+      return;
+    }
+    client_ = namer_({ aWay.bytes.data(), aWay.size });
+    if (!client_.empty()) {
+      named_(*this);
+    }
+  }
+
   void Forward(Way& aWay, Way& aOther)
   {
     aWay.pause.expires_after(delay_);
@@ -115,7 +154,7 @@
           aOther.from,
           net::buffer(aWay.bytes.data(), aWay.size),
           [self, &aWay, &aOther](const ErrorCode& aFailed, std::size_t) {
-            if (aFailed) {
+            if (aFailed && !self->isOrphan_) {
               self->Reset();
             } else {
               self->Read(aWay, aOther);
@@ -127,17 +166,23 @@
   Way requests_; //!< From the client.
   Way answers_;  //!< From the server.
   const double lot_;
+  const ClientNamer namer_;
+  const NamedHook named_;
+  std::string client_;
   Duration delay_{ 0 };
   bool isSilent_ = false;
+  bool isOrphan_ = false; //!< The client's side was reset by itself.
 };
 
 FaultProxy::FaultProxy(net::io_context& aContext,
                        const Address& aListen,
                        const Address& aServer,
-                       std::uint64_t aSeed)
+                       std::uint64_t aSeed,
+                       ClientNamer aNamer)
   : acceptor_(aContext, aListen)
   , server_(aServer)
   , dice_(aSeed)
+  , namer_(std::move(aNamer))
 {
   Accept();
 }
@@ -152,9 +197,14 @@
         return;
       }
       if (!aError) {
-        const auto connection =
-          std::make_shared<Connection>(std::move(aSocket), dice_.NextShare());
-        connection->Apply(fault_);
+        const auto connection = std::make_shared<Connection>(
+          std::move(aSocket),
+          dice_.NextShare(),
+          namer_,
+          [this](Connection& aConnection) {
+            aConnection.Apply(fault_, IsCut(aConnection.Client()));
+          });
+        connection->Apply(fault_, IsCut({}));
         connection->Start(server_);
         connections_.push_back(connection);
       }
@@ -165,16 +215,44 @@
 void FaultProxy::Set(const ProxyFault& aFault)
 {
   fault_ = aFault;
+  Apply();
+}
+
+void FaultProxy::Cut(CutScope aScope, CutHook aIsCut)
+{
+  cuts_.at(static_cast<std::size_t>(aScope)) = std::move(aIsCut);
+  Apply();
+}
+
+bool FaultProxy::IsCut(std::string_view aClient) const
+{
+  return std::any_of(
+    cuts_.begin(), cuts_.end(), [aClient](const CutHook& aCut) {
+      return aCut && aCut(aClient);
+    });
+}
+
+void FaultProxy::Apply()
+{
   std::vector<std::weak_ptr<Connection>> alive;
   for (const auto& weak : connections_) {
     if (const auto connection = weak.lock()) {
-      connection->Apply(aFault);
+      connection->Apply(fault_, IsCut(connection->Client()));
       alive.push_back(weak);
     }
   }
   connections_.swap(alive);
 }
 
+void FaultProxy::ResetClients()
+{
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) {
+      connection->ResetClient();
+    }
+  }
+}
+
 void FaultProxy::Silence()
 {
   for (const auto& weak : connections_) {
@@ -184,14 +262,14 @@
   }
 }
 
-void FaultProxy::Reset()
+void FaultProxy::Reset(const CutHook& aIsCut)
 {
   for (const auto& weak : connections_) {
-    if (const auto connection = weak.lock()) {
+    const auto connection = weak.lock();
+    if (connection && (!aIsCut || aIsCut(connection->Client()))) {
       connection->Reset();
     }
   }
-  connections_.clear();
 }
 
 }
