Hear a daemon that restarted after its clock had stepped back

What callers saw: nothing that is recorded. A daemon whose process starts within a step back of its clock after the earlier start has a lower incarnation, and the others took its heartbeats for those of the earlier process, for as long as they ran. It heard no echo, and led by itself again and again.

Cause: an incarnation is the wall clock at the start, which is not monotonic.

Change: a lower incarnation is ignored only while the later process is alive.

Evidence: leadership.LeaderElection (HearsRestartedMembers) failed before in the row of the clock that stepped back, and passes.

--- a/include/hemlockhaven/leadership/Heartbeat.h
+++ b/include/hemlockhaven/leadership/Heartbeat.h
@@ -17,7 +17,7 @@
   std::string address; //!< "IP:port"
   std::string zone;
   double cores = 0;
-  std::uint64_t incarnation = 0; //!< Increases with each start of the process.
+  std::uint64_t incarnation = 0; //!< Wall clock at the start, in ms.
   double linkMbps = 1000;        //!< Bandwidth of the VM's link, in Mbit/s.
 };
 
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -157,8 +157,10 @@
   const bool restarted =
     state.heard && state.member.incarnation != aHeartbeat.from.incarnation;
   if (restarted) {
-    if (aHeartbeat.from.incarnation < state.member.incarnation) {
-      return effects; // From an earlier process.
+    // A member that is heard is a later process than this one. Otherwise its
+    // clock may have stepped back before it started.
+    if (state.alive && aHeartbeat.from.incarnation < state.member.incarnation) {
+      return effects;
     }
     MarkLost(state, effects);
     state = MemberState();
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -72,6 +72,18 @@
     heartbeats_.push_back(heartbeat);
   }
 
+  //! The member's process restarts; its clock has changed by so much since the
+  //! last start.
+  void RestartMember(const std::string& aName, std::int64_t aClockChange)
+  {
+    for (Heartbeat& heartbeat : heartbeats_) {
+      if (heartbeat.from.name == aName) {
+        heartbeat.from.incarnation += static_cast<std::uint64_t>(aClockChange);
+        heartbeat.sequence = 0;
+      }
+    }
+  }
+
   //! Adds members with fewer cores than this one.
   void HearFromSmallerMembers(int aCount)
   {
@@ -588,6 +600,39 @@
   LONGS_EQUAL(8, harness.lastHeartbeat.endpointsInUse.leftFrom);
 }
 
+namespace {
+
+struct RestartRow
+{
+  const char* guardsAgainst;
+  std::int64_t clockChange; //!< Between the starts of the member's processes.
+};
+
+constexpr RestartRow kRestartRows[] = {
+  { "keeping the state of a process that has ended", 1000 },
+  { "ignoring a process for good that started before its clock stepped back",
+    -1000 },
+};
+
+}
+
+TEST(LeaderElection, HearsRestartedMembers)
+{
+  constexpr std::uint64_t kFirstIncarnation = 5000;
+  for (const RestartRow& row : kRestartRows) {
+    ElectionHarness harness;
+    harness.HearFrom("m1", 0.5, 0);
+    harness.RestartMember("m1", kFirstIncarnation);
+    harness.Advance(1000);
+    LONGS_EQUAL_TEXT(
+      1, harness.Election().AliveMemberCount(), row.guardsAgainst);
+    harness.RestartMember("m1", row.clockChange);
+    harness.Advance(1500);
+    LONGS_EQUAL_TEXT(
+      1, harness.Election().AliveMemberCount(), row.guardsAgainst);
+  }
+}
+
 TEST(LeaderElection, ReportsLostMembersOnce)
 {
   ElectionHarness harness;
