Show that a task is started beside a listed run of it

An earlier run of the task is found to have ended while the endpoint lists a run of it that another leader has started. That one is adopted only if the task waits when it is listed, so that the task is started once more.

--- a/tests/scheduler/TaskRunModelTest.cpp
+++ b/tests/scheduler/TaskRunModelTest.cpp
@@ -570,6 +570,35 @@
     } },
 };
 
+//! A sequence of events that the model has found, reduced.
+struct SequenceRow
+{
+  const char* guardsAgainst;
+  std::function<void(TaskWorld&)> play;
+};
+
+const SequenceRow kUnadoptedRunRows[] = {
+  { "starting a task whose earlier run is found to have ended, while another "
+    "leader's run of it is listed",
+    [](TaskWorld& aWorld) {
+      aWorld.Submit(0);
+      aWorld.SetReach(0, 2, Reach::Late, Ms(204));
+      aWorld.Wait(Ms(65));
+      aWorld.MoveEntryVm(0);
+      aWorld.SetReach(0, 2, Reach::Open, Duration(0));
+      aWorld.Wait(Ms(352));
+    } },
+};
+
+void PlayRows(Span<const SequenceRow> aRows)
+{
+  for (const SequenceRow& row : aRows) {
+    TaskWorld world;
+    row.play(world);
+    CHECK_EQUAL_TEXT(1, world.MostRuns(), row.guardsAgainst);
+  }
+}
+
 //! The model: whatever came before, the task has at most one run.
 struct RunLimit
 {
@@ -749,3 +778,13 @@
              1000 })
       .c_str());
 }
+
+// The groups below hold sequences that the model has found, one group for each
+// cause.
+
+TEST_GROUP(TaskRunUnadopted){};
+
+TEST(TaskRunUnadopted, HasAtMostOneRun)
+{
+  PlayRows(kUnadoptedRunRows);
+}
