Show that an adopted run outlasts the lease that an earlier leader counts

The earlier leader does not hear the endpoint, takes the lease for expired and starts the task again before it loses the entry VM. The next leader has adopted the run and renewed its lease.

--- a/tests/scheduler/TaskRunModelTest.cpp
+++ b/tests/scheduler/TaskRunModelTest.cpp
@@ -590,6 +590,22 @@
     } },
 };
 
+const SequenceRow kRenewedRunRows[] = {
+  { "renewing the lease of an adopted run on whose expiry an earlier leader "
+    "relies, which has not lost the entry VM yet",
+    [](TaskWorld& aWorld) {
+      aWorld.Submit(0);
+      aWorld.Wait(Ms(2));
+      aWorld.SetReach(0, 2, Reach::RepliesLost, Duration(0));
+      aWorld.Wait(Ms(72));
+      aWorld.SetReach(1, 1, Reach::Cut, Duration(0));
+      aWorld.Wait(Ms(177));
+      aWorld.MoveEntryVm(0);
+      aWorld.SetReach(0, 0, Reach::Cut, Duration(0));
+      aWorld.Wait(Ms(350));
+    } },
+};
+
 void PlayRows(Span<const SequenceRow> aRows)
 {
   for (const SequenceRow& row : aRows) {
@@ -788,3 +804,10 @@
 {
   PlayRows(kUnadoptedRunRows);
 }
+
+TEST_GROUP(TaskRunRenewed){};
+
+TEST(TaskRunRenewed, HasAtMostOneRun)
+{
+  PlayRows(kRenewedRunRows);
+}
