Show that a first submission replaces a repeat that has to be held

A repeat waits for the end of a stop. A first submission by another entry VM replaces it with its count of earlier leaders, and is started at once.

--- a/tests/scheduler/TaskRunModelTest.cpp
+++ b/tests/scheduler/TaskRunModelTest.cpp
@@ -606,6 +606,19 @@
     } },
 };
 
+const SequenceRow kReplacedRepeatRows[] = {
+  { "forgetting that another leader had work when a first submission replaces "
+    "a repeat that waits for the end of a stop",
+    [](TaskWorld& aWorld) {
+      aWorld.Submit(0);
+      aWorld.MoveEntryVm(0);
+      aWorld.SetReach(0, 2, Reach::Cut, Duration(0));
+      aWorld.Wait(Ms(436));
+      aWorld.SubmitElsewhere(0);
+      aWorld.Wait(Ms(340));
+    } },
+};
+
 void PlayRows(Span<const SequenceRow> aRows)
 {
   for (const SequenceRow& row : aRows) {
@@ -811,3 +824,10 @@
 {
   PlayRows(kRenewedRunRows);
 }
+
+TEST_GROUP(TaskRunReplacedRepeat){};
+
+TEST(TaskRunReplacedRepeat, HasAtMostOneRun)
+{
+  PlayRows(kReplacedRepeatRows);
+}
