Show that a new term renews leases of runs that it does not know

A leader that continues after a pause takes its endpoints back. Its first polls renew their leases, since it judges by what it knew before. The leader that started runs there meanwhile is cut off and waits for their expiry.

--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -175,6 +175,21 @@
     } },
 };
 
+const OverlapRow kRetakenEndpointRows[] = {
+  { "renewing leases of unknown runs with the first poll of a new term, while "
+    "the leader that started them waits for their expiry",
+    2,
+    [](Cluster& aCluster, const Roles& aRoles) {
+      aCluster.Pause(aRoles.leader, Ms(1500));
+      aCluster.Time().RunFor(Ms(800));
+      aCluster.Submit(aRoles.second, MakeTask("retaken", 1100));
+      aCluster.Submit(aRoles.second, MakeTask("other", 600));
+      aCluster.Time().RunFor(Ms(200));
+      aCluster.SetZoneIsolated(aRoles.leader, true);
+      aCluster.Time().RunFor(Ms(4000));
+    } },
+};
+
 //! From a submission to the leader until its start command is on its way.
 constexpr Duration kBeforeStart{ 1200 };
 
@@ -231,3 +246,10 @@
 {
   STRCMP_EQUAL("", PlayRows(kRestartedEndpointRows).c_str());
 }
+
+TEST_GROUP(OverlapAfterRetake){};
+
+TEST(OverlapAfterRetake, RunsNoTaskTwice)
+{
+  STRCMP_EQUAL("", PlayRows(kRetakenEndpointRows).c_str());
+}
