--- a/soak/EventCounts.cpp
+++ b/soak/EventCounts.cpp
@@ -109,6 +109,7 @@
     { "slowed", aPlan.slowed },
     { "callerResets", aPlan.callerResets },
     { "killsAfterAnswer", aPlan.killsAfterAnswer },
+    { "longestStallMs", inMs(aPlan.longestStall) },
   }
     .dump();
 }
--- a/soak/EventCounts.h
+++ b/soak/EventCounts.h
@@ -35,6 +35,7 @@
   std::size_t slowed = 0;
   std::size_t callerResets = 0;
   std::size_t killsAfterAnswer = 0;
+  Duration longestStall{ 0 }; //!< Of the soak's own process.
 };
 
 //! What the daemons' logs tell of the events that double runs need. The logs
--- a/soak/FaultPlan.cpp
+++ b/soak/FaultPlan.cpp
@@ -14,6 +14,10 @@
 
 //! Daemons may start work at an endpoint for so long after it drains.
 constexpr Duration kDrain{ 3000000 };
+constexpr Duration kStallInterval{ 20000 };
+//! Daemons are lost after 0.35 s without a heartbeat; a third of it can add to
+//! other delays.
+constexpr Duration kNotedStall{ 100000 };
 
 }
 
@@ -34,6 +38,7 @@
 void FaultPlan::Start(Duration aFor)
 {
   const TimePoint until = SteadyNow() + aFor;
+  WatchStalls();
   BeginNext(until);
   if (fleet_.Kind().faults != FaultMix::Cuts) {
     SilenceLinks(until);
@@ -100,6 +105,23 @@
   After(Between(100, 800), [this, aUntil] { BeginNext(aUntil); });
 }
 
+void FaultPlan::WatchStalls()
+{
+  if (isOver_) {
+    return;
+  }
+  const TimePoint due = SteadyNow() + kStallInterval;
+  After(kStallInterval, [this, due] {
+    const auto late = std::chrono::duration_cast<Duration>(SteadyNow() - due);
+    counts_.longestStall = std::max(counts_.longestStall, late);
+    if (late > kNotedStall) {
+      Note("the soak itself stood still for " +
+           std::to_string(late.count() / 1000) + " ms");
+    }
+    WatchStalls();
+  });
+}
+
 void FaultPlan::After(Duration aDelay, std::function<void()> aEvent)
 {
   ++running_;
--- a/soak/FaultPlan.h
+++ b/soak/FaultPlan.h
@@ -46,6 +46,8 @@
   //! What the shape draws from.
   Span<const Begin> Faults() const;
   void BeginNext(TimePoint aUntil);
+  //! Notes when this process itself stands still: proxies and callers do too.
+  void WatchStalls();
   void After(Duration aDelay, std::function<void()> aEvent);
   void Note(const std::string& aWhat);
   Duration Between(std::int64_t aLeastMs, std::int64_t aMostMs);
