Renew no lease with the first poll of a term

What callers saw (TWICE, in a test): a leader that was fenced while it was paused took its endpoints back and renewed their leases with its first polls. Runs that the other leader had started there meanwhile went on, while that leader, cut off by then, waited for their expiry and started the tasks again.

Cause: whether an endpoint has runs of unknown work was judged by what the leader knew before the term.

Change: the first reply of a term comes before the first renewal.

Evidence: coordinator.OverlapAfterRetake failed before and passes.

--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -175,9 +175,11 @@
   // Without a reply the lease is left to expire: the endpoint may still receive
   // commands, and its runs have to end at some time. Runs of unknown work are
   // not renewed either: another leader that cannot reach them relies on their
-  // expiry, as it does on that of the runs of a leader that was paused.
+  // expiry, as it does on that of the runs of a leader that was paused. The
+  // first reply of a term shows which runs are unknown.
   const bool isRenewable =
-    aEndpoint.isResponding && aEndpoint.orphans.empty() && !IsViewOutdated() &&
+    aEndpoint.isTakenOver && aEndpoint.isResponding &&
+    aEndpoint.orphans.empty() && !IsViewOutdated() &&
     now_ - aEndpoint.lastReplyAt <= policy_.responseTimeout;
   const auto deadline = aEndpoint.lease.DeadlineIn(policy_.lease, now_);
   if (isRenewable && deadline) {
