Count the reply to a stop for its own endpoint only

What callers saw: nothing that is recorded; a run could be taken for ended whose start was still under way.

Cause: work that is submitted again numbers its runs anew, and a reply was matched by task and run number. The late reply to a stop at the endpoint of an earlier submission counted for the present run.

Evidence: scheduler.StopReply failed before in its second row and passes.

--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -207,7 +207,8 @@
   }
   WorkEntry* entry = nullptr;
   TaskEntry* task = FindRun(aCommand.run, entry);
-  if (task != nullptr && task->phase == TaskPhase::Stopping &&
+  if (task != nullptr && task->endpoint == aCommand.target.endpoint &&
+      task->phase == TaskPhase::Stopping &&
       aReply.outcome == CommandOutcome::Accepted && !task->stopConfirmedAt) {
     task->stopConfirmedAt = now_;
   }
