Keep the count of earlier leaders of a repeat that is replaced

What callers saw (TWICE, in a test): a repeat that waits for the end of a stop and was handed on by an earlier leader was replaced by a first submission of the same job. That one was not held, and started beside a run of the earlier leader.

Cause: the later attempt brought its own count of earlier leaders, zero.

Evidence: scheduler.TaskRunReplacedRepeat failed before and passes.

--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -250,10 +250,14 @@
                                 Work aWork,
                                 SchedulerEffects& aEffects)
 {
+  LogDecision(aEffects, "submit", aWork.id, nullptr, "after its stop");
   if (aEntry.restart && aEntry.restart->entryVm != aEntryVm) {
+    // Earlier leaders of either attempt may have started it.
+    aWork.submissions =
+      std::max(aWork.submissions, aEntry.restart->work.submissions);
+    aWork.priorEndpoints.Add(aEntry.restart->work.priorEndpoints);
     SupersedeAttempt(aEntry.restart->entryVm, aWork.id, aEffects);
   }
-  LogDecision(aEffects, "submit", aWork.id, nullptr, "after its stop");
   aEntry.restart = WorkEntry::Restart{ aEntryVm, std::move(aWork), now_ };
 }
 
