Adopt a listed run when an earlier run of its task has ended

Cause: such a run was adopted only if its task was waiting when the endpoint listed it for the first time.

Change: runs of unknown work are looked at again when a run of the task ends.

Evidence: scheduler.TaskRunUnadopted failed before and passes.

--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -39,7 +39,12 @@
               "ended",
               aReason);
   aTask.phase = TaskPhase::Waiting;
-  if (!aEntry.IsAnswered()) {
+  if (aEntry.IsAnswered()) {
+    return;
+  }
+  // Another leader may have started the task meanwhile.
+  AdoptOrphanRuns(aEntry, aEffects);
+  if (aTask.phase == TaskPhase::Waiting) {
     Enqueue(aEntry);
   }
 }
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -72,8 +72,9 @@
       (isUnresponsive && endpoint->lease.HasExpired(now_ - kRunEndTime))) {
     aTask.avoidedEndpoint = aTask.endpoint;
     const std::string inputs = DescribeLapse(aTask, endpoint);
+    const std::size_t ended = aEffects.decisions.size();
     OnRunEnded(aEntry, aTask, "lease lapsed unseen", aEffects);
-    aEffects.decisions.back().inputs = inputs;
+    aEffects.decisions[ended].inputs = inputs;
     return;
   }
   if (aTask.phase == TaskPhase::Stopping &&
