Start a lapsed task again only if its entry VM still follows the leader

What callers saw (TWICE, in a test): a leader that did not hear an endpoint started its task elsewhere once the lease had expired. The entry VM had left it 0.25 s before, and the next leader had adopted the run and renewed its lease.

Cause: that a lease expires unless this leader renews it holds only as long as the entry VM has handed its work to no other. The leader learns that up to 0.35 s late.

Change: the election tells the schedulers up to when each member is known to have followed; a withdrawal that was sent before has arrived on the same link. A task whose lease expired unseen waits for that, usually one heartbeat.

Evidence: scheduler.TaskRunRenewed failed before and passes.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/leadership/Heartbeat.h"
+#include "hemlockhaven/scheduler/EntryVmContact.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -146,6 +147,10 @@
   //! The visitor must not call this election.
   void VisitMembers(const std::function<void(const Member&)>& aVisitor) const;
 
+  //! The members that are alive. What one sent before it heard this daemon's
+  //! heartbeat of that time has arrived.
+  std::vector<EntryVmContact> EntryVmContacts() const;
+
   std::string Leader() const;
   bool IsLeading() const;
   std::size_t AliveMemberCount() const;
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -5,6 +5,7 @@
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/scheduler/Effects.h"
 #include "hemlockhaven/scheduler/EndpointsInUse.h"
+#include "hemlockhaven/scheduler/EntryVmContact.h"
 #include "hemlockhaven/scheduler/ListPosition.h"
 #include "hemlockhaven/scheduler/ListedEndpoint.h"
 #include "hemlockhaven/scheduler/Reports.h"
@@ -91,6 +92,12 @@
   SchedulerEffects OnPollFailed(const PollCommand& aCommand,
                                 CommandOutcome aOutcome);
 
+  //! Sets what is known of the entry VMs. A task whose lease has expired unseen
+  //! is started again only if its entry VM has followed this leader since: the
+  //! next leader may have renewed the lease. Until the first call all are taken
+  //! to do so.
+  void SetEntryVmContacts(Span<const EntryVmContact> aContacts);
+
   //! Handles timeouts. To be called every few tens of milliseconds.
   SchedulerEffects Tick();
 
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -401,7 +401,10 @@
 {
   DivideIfChanged();
   Apply(election_.Tick());
+  std::vector<EntryVmContact> contacts = election_.EntryVmContacts();
+  contacts.push_back({ name_, TimePoint::max() });
   for (const auto& scheduler : Schedulers()) {
+    scheduler->SetEntryVmContacts(contacts);
     Apply(*scheduler, scheduler->Tick());
   }
   PublishEndpointsInUse();
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -573,6 +573,18 @@
   }
 }
 
+std::vector<EntryVmContact> LeaderElection::EntryVmContacts() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<EntryVmContact> contacts;
+  for (const auto& [address, state] : members_) {
+    if (state.alive) {
+      contacts.push_back({ state.member.name, state.echoedSentAt });
+    }
+  }
+  return contacts;
+}
+
 std::string LeaderElection::Leader() const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -133,6 +133,12 @@
   });
 }
 
+void Scheduler::SetEntryVmContacts(Span<const EntryVmContact> aContacts)
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_->SetEntryVmContacts(aContacts);
+}
+
 SchedulerEffects Scheduler::Tick()
 {
   return CallLocked(mutex_, *state_, [](auto& aState, auto& aEffects) {
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -53,6 +54,7 @@
   void OnPollFailed(const PollCommand& aCommand,
                     CommandOutcome aOutcome,
                     SchedulerEffects& aEffects);
+  void SetEntryVmContacts(Span<const EntryVmContact> aContacts);
   void Tick(SchedulerEffects& aEffects);
   SchedulerLoad Load() const;
 
@@ -153,6 +155,9 @@
   // SchedulerTicks.cpp
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickRun(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
+  //! Whether the entry VM of the work has handed it to no other leader until
+  //! then.
+  bool IsFollowedUntil(const WorkEntry& aEntry, TimePoint aTime) const;
   //! For the log: what shows that the lease of a run has expired.
   std::string DescribeLapse(const TaskEntry& aTask,
                             const EndpointEntry* aEndpoint) const;
@@ -231,6 +236,8 @@
   TimePoint now_{}; //!< Time of the current call.
   std::uint64_t token_ = 0;
   TimePoint lastTickAt_;
+  //! By entry VM; nullopt until it was set.
+  std::optional<std::unordered_map<std::string, TimePoint>> followedUntil_;
   TimePoint termStartedAt_{};
   //! Work of another leader was submitted in this term.
   bool isNewTermWanted_ = false;
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -60,6 +60,24 @@
   return text;
 }
 
+void SchedulerState::SetEntryVmContacts(Span<const EntryVmContact> aContacts)
+{
+  followedUntil_.emplace();
+  for (const EntryVmContact& contact : aContacts) {
+    (*followedUntil_)[contact.name] = contact.followedUntil;
+  }
+}
+
+bool SchedulerState::IsFollowedUntil(const WorkEntry& aEntry,
+                                     TimePoint aTime) const
+{
+  if (!followedUntil_) {
+    return true;
+  }
+  const auto contact = followedUntil_->find(aEntry.EntryVm());
+  return contact != followedUntil_->end() && contact->second > aTime;
+}
+
 void SchedulerState::TickRun(WorkEntry& aEntry,
                              TaskEntry& aTask,
                              SchedulerEffects& aEffects)
@@ -70,6 +88,13 @@
     now_ - endpoint->lastReplyAt > policy_.responseTimeout;
   if (endpoint == nullptr ||
       (isUnresponsive && endpoint->lease.HasExpired(now_ - kRunEndTime))) {
+    if (!aTask.lapsedAt) {
+      aTask.lapsedAt = now_;
+    }
+    if (!aEntry.IsAnswered() && !IsFollowedUntil(aEntry, *aTask.lapsedAt)) {
+      return; // The next leader may have renewed the lease.
+    }
+    aTask.lapsedAt.reset();
     aTask.avoidedEndpoint = aTask.endpoint;
     const std::string inputs = DescribeLapse(aTask, endpoint);
     const std::size_t ended = aEffects.decisions.size();
@@ -77,6 +102,7 @@
     aEffects.decisions[ended].inputs = inputs;
     return;
   }
+  aTask.lapsedAt.reset();
   if (aTask.phase == TaskPhase::Stopping &&
       now_ - aTask.stopSentAt > kStopRetryDelay) {
     StopRun(aEntry, aTask, aEffects);
--- a/src/scheduler/WorkEntry.h
+++ b/src/scheduler/WorkEntry.h
@@ -38,6 +38,8 @@
   TimePoint expectedEnd{};
   TimePoint stopSentAt{};
   std::optional<TimePoint> stopConfirmedAt; //!< Cannot start any more.
+  //! When the lease of the run was found to have expired unseen.
+  std::optional<TimePoint> lapsedAt;
   std::int64_t deadlineClockMs = 0; //!< The start is rejected after this.
   Duration predicted{ 0 };          //!< Run time at speed 1.
 
--- a/tests/scheduler/TaskRunModelTest.cpp
+++ b/tests/scheduler/TaskRunModelTest.cpp
@@ -277,6 +277,13 @@
            std::exchange(node.lostEntryVms, std::vector<std::size_t>())) {
         Apply(aNode, node.scheduler->OnEntryVmLost(NameOf(lost)));
       }
+      std::vector<EntryVmContact> contacts;
+      for (std::size_t i = 0; i < entryVms_.size(); ++i) {
+        const EntryVm& vm = entryVms_[i];
+        contacts.push_back(
+          { NameOf(i), vm.lastLeader == aNode ? time_.Now() : vm.movedAt });
+      }
+      node.scheduler->SetEntryVmContacts(contacts);
       Apply(aNode, node.scheduler->Tick());
       ScheduleTick(aNode);
     });
