Lose a member that hands in work before it was found alive

What callers saw (TWICE, in a test): an entry VM started, took the leader for its own with the first heartbeat and handed in work; a zone cut followed before the leader had an echo from it. The leader never dropped the work, and the next one started it again.

Cause: only a member that had been alive could be lost. A member hears the leader up to a heartbeat before it is heard itself.

Change: a member that was heard and falls silent is lost, alive or not.

--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -502,6 +502,11 @@
   for (auto& [address, state] : members_) {
     if (state.alive && !IsAlive(state)) {
       MarkLost(state, effects);
+    } else if (!state.alive && state.heard && state.lostAt == TimePoint() &&
+               now_ - state.heardAt > parameters_.memberTimeout) {
+      // It may have handed work in before it was found alive here.
+      state.lostAt = now_;
+      effects.lostMembers.push_back(state.member.name);
     } else if (!state.alive && IsAlive(state)) {
       state.alive = true;
       state.aliveSince = now_;
--- a/tests/coordinator/OverlappingRunsTest.cpp
+++ b/tests/coordinator/OverlappingRunsTest.cpp
@@ -210,6 +210,26 @@
     } },
 };
 
+//! From the start of an entry VM until it is cut off: it takes the leader for
+//! alive, and hands work in, before the leader has an echo from it.
+constexpr std::int64_t kFirstContactMs[] = { 50, 55, 60, 65, 70, 75, 80, 85 };
+
+OverlapRow RestartedEntryVmRow(std::int64_t aContactMs)
+{
+  return { "keeping the work of an entry VM that was cut off before the leader "
+           "had found it alive",
+           2,
+           [aContactMs](Cluster& aCluster, const Roles& aRoles) {
+             aCluster.Kill(aRoles.second);
+             aCluster.Time().RunFor(Ms(600));
+             aCluster.Restart(aRoles.second);
+             aCluster.Submit(aRoles.second, MakeTask("restarted", 8000));
+             aCluster.Time().RunFor(Ms(aContactMs));
+             aCluster.SetZoneIsolated(aRoles.second, true);
+             aCluster.Time().RunFor(Ms(9000));
+           } };
+}
+
 }
 
 TEST_GROUP(OverlapAfterPause){};
@@ -253,3 +273,14 @@
 {
   STRCMP_EQUAL("", PlayRows(kRetakenEndpointRows).c_str());
 }
+
+TEST_GROUP(OverlapAfterFirstContact){};
+
+TEST(OverlapAfterFirstContact, RunsNoTaskTwice)
+{
+  std::string overlapping;
+  for (const std::int64_t contactMs : kFirstContactMs) {
+    overlapping += PlayRow(RestartedEntryVmRow(contactMs));
+  }
+  STRCMP_EQUAL("", overlapping.c_str());
+}
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -644,6 +644,22 @@
   STRCMP_EQUAL("b", harness.lost.c_str());
 }
 
+// It takes this daemon for its leader as soon as it hears it, and may hand work
+// in before it has echoed anything.
+TEST(LeaderElection, ReportsMembersLostThatWereNeverAlive)
+{
+  ElectionHarness harness;
+  harness.Advance(1000);
+  harness.membersEcho = false;
+  harness.HearFrom("b", 0.5, 0);
+  harness.Advance(100);
+  CHECK_FALSE(harness.Election().IsLost("b"));
+  harness.SilenceAll();
+  harness.Advance(1000);
+  CHECK(harness.Election().IsLost("b"));
+  STRCMP_EQUAL("b", harness.lost.c_str());
+}
+
 namespace {
 
 struct ReturnedMemberRow
