--- a/soak/Shape.cpp
+++ b/soak/Shape.cpp
@@ -54,24 +54,18 @@
   return least + aDice.Next() % (most - least + 1);
 }
 
-Job DrawOrderDeskJob(Dice& aDice)
+Job DrawJobOf(const JobKind& aKind, Dice& aDice)
 {
   // An objective is the stretch of the longest work and the target on top; an
   // answer is worth something up to three of them.
   constexpr std::uint64_t kTargetMs = 60;
   constexpr std::uint64_t kObjectives = 3;
   constexpr std::uint64_t kLeastDeadlineMs = 1500;
-  std::uint64_t lot = aDice.Next() % 1000;
-  const JobKind* kind = kOrderDeskJobs.data();
-  while (lot >= kind->share) {
-    lot -= kind->share;
-    ++kind;
-  }
   Job job;
-  job.route = kind->route;
-  job.tasks = DrawAround(aDice, kind->tasks, kind->mostTasks, 12);
+  job.route = aKind.route;
+  job.tasks = DrawAround(aDice, aKind.tasks, aKind.mostTasks, 12);
   job.workMs =
-    DrawAround(aDice, kind->workMs, kind->mostWorkMs, kind->largeOneIn);
+    DrawAround(aDice, aKind.workMs, aKind.mostWorkMs, aKind.largeOneIn);
   // Two or three tasks fill an endpoint.
   job.cpuMillis = 20000 + aDice.Next() % 14000;
   const std::uint64_t objectiveMs = job.workMs * 8 / 5 + kTargetMs;
@@ -80,6 +74,24 @@
   return job;
 }
 
+Job DrawOrderDeskJob(Dice& aDice)
+{
+  std::uint64_t lot = aDice.Next() % 1000;
+  const JobKind* kind = kOrderDeskJobs.data();
+  while (lot >= kind->share) {
+    lot -= kind->share;
+    ++kind;
+  }
+  return DrawJobOf(*kind, aDice);
+}
+
+//! Mostly long jobs: a leader that wakes from a pause still has their tasks.
+Job DrawLongJob(Dice& aDice)
+{
+  const bool isLong = aDice.Next() % 4 != 0;
+  return isLong ? DrawJobOf(kOrderDeskJobs[1], aDice) : DrawOrderDeskJob(aDice);
+}
+
 Shape PlainShape()
 {
   Shape shape;
@@ -96,7 +108,7 @@
   Shape shape;
   shape.name = std::move(aName);
   shape.routes = { { "stock", 0, 2 }, { "reserve", 2, 3 }, { "price", 1, 2 } };
-  shape.drawJob = DrawOrderDeskJob;
+  shape.drawJob = aFaults == FaultMix::Cuts ? DrawLongJob : DrawOrderDeskJob;
   shape.resends = 3;
   shape.isZoned = true;
   shape.faults = aFaults;
--- a/soak/ZoneFaults.cpp
+++ b/soak/ZoneFaults.cpp
@@ -57,7 +57,7 @@
   const std::uint64_t lot = dice_.Next();
   const Duration begin = Between(0, 100);
   // Others hold the leader's work for 1.3 s once they have missed it for 0.4 s.
-  const Duration pause = Between(1000, 3500);
+  const Duration pause = Between(1500, 3500);
   const Duration length = pause + Between(200, 1500);
   if (cutZone_) {
     return;
