--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -147,8 +147,9 @@
   //! The visitor must not call this election.
   void VisitMembers(const std::function<void(const Member&)>& aVisitor) const;
 
-  //! The members that are alive. What one sent before it heard this daemon's
-  //! heartbeat of that time has arrived.
+  //! The alive members, each with the send time of the last heartbeat that it
+  //! has echoed. All that it sent before it received that one has arrived here,
+  //! also a withdrawal of its work.
   std::vector<EntryVmContact> EntryVmContacts() const;
 
   std::string Leader() const;
--- a/include/hemlockhaven/scheduler/EntryVmContact.h
+++ b/include/hemlockhaven/scheduler/EntryVmContact.h
@@ -7,7 +7,8 @@
 
 namespace hemlockhaven {
 
-//! Until when an entry VM has certainly handed its work to no other leader.
+//! Until when an entry VM is known not to have handed its work to another
+//! leader.
 struct EntryVmContact
 {
   std::string name;
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -92,7 +92,7 @@
       aTask.lapsedAt = now_;
     }
     if (!aEntry.IsAnswered() && !IsFollowedUntil(aEntry, *aTask.lapsedAt)) {
-      return; // The next leader may have renewed the lease.
+      return; // Another leader may have the work, and have renewed the lease.
     }
     aTask.lapsedAt.reset();
     aTask.avoidedEndpoint = aTask.endpoint;
