--- a/review/standins-2/Stage.cc
+++ b/review/standins-2/Stage.cc
@@ -10,11 +10,13 @@
 #include <iostream>
 #include <random>
 #include <sstream>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -31,6 +33,7 @@
 constexpr std::uint16_t kControlPort = 8166;
 constexpr std::uint16_t kReadinessPort = 8167;
 constexpr std::uint16_t kStorePort = 8169;
+constexpr std::uint16_t kLinkPort = 7720;
 constexpr std::uint16_t kWorkerPort = 8080;
 constexpr std::int64_t kHoldMaxMs = 1000;
 constexpr std::int64_t kHeartbeatMs = 1500;
@@ -424,14 +427,99 @@
   return response;
 }
 
+// --- Link
+
+Link::Link(std::string aIp, std::uint16_t aPort, std::string aTarget)
+  : ip_(std::move(aIp))
+  , port_(aPort)
+  , target_(std::move(aTarget))
+  , listener_(Listen(ip_, port_))
+  , acceptor_([this] {
+    while (running_) {
+      const int opener = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (opener >= 0) {
+        ++forwarding_;
+        std::thread([this, opener] {
+          Forward(opener);
+          --forwarding_;
+        }).detach();
+      }
+    }
+  })
+{
+}
+
+Link::~Link()
+{
+  running_ = false;
+  ::shutdown(listener_, SHUT_RDWR);
+  acceptor_.join();
+  ::close(listener_);
+  while (forwarding_ > 0) {
+    SleepMs(5);
+  }
+}
+
+void Link::BreakOpeners()
+{
+  ++generation_;
+}
+
+void Link::Forward(int aOpener)
+{
+  const int generation = generation_;
+  bool isOpenerBroken = false;
+  int target = -1;
+  bool isOpen = true;
+  while (running_ && isOpen) {
+    if (!isOpenerBroken && generation != generation_) {
+      ::shutdown(aOpener, SHUT_RDWR);
+      isOpenerBroken = true;
+    }
+    if (isCut_) {
+      SleepMs(10);
+      continue;
+    }
+    if (target < 0 && (isOpenerBroken || (target = Connect(target_)) < 0)) {
+      break;
+    }
+    pollfd ready[2] = { { aOpener, POLLIN, 0 }, { target, POLLIN, 0 } };
+    ::poll(ready, 2, 10);
+    for (int side = 0; side < 2 && isOpen && !isCut_; ++side) {
+      if (ready[side].revents != 0) {
+        char bytes[16384];
+        const auto count = ::recv(ready[side].fd, bytes, sizeof bytes, 0);
+        isOpen = count > 0 &&
+                 SendAll(ready[1 - side].fd,
+                         std::string(bytes, static_cast<std::size_t>(count)));
+      }
+    }
+  }
+  ::close(aOpener);
+  if (target >= 0) {
+    ::close(target);
+  }
+}
+
 // --- Store
 
 Store::Store(const std::string& aIp, std::uint16_t aPort)
-  : server_(aIp, aPort, [this](const Request& r) { return Handle(r); })
+  : server_(aIp, aPort, [this](const Request& r) { return Handle(r, {}); })
 {
   server_.Start();
 }
 
+std::string Store::AddView(const std::string& aIp,
+                           std::map<std::string, std::string> aAddresses)
+{
+  views_.push_back(std::make_unique<Server>(
+    aIp, kStorePort, [this, addresses = std::move(aAddresses)](const Request& r) {
+      return Handle(r, addresses);
+    }));
+  views_.back()->Start();
+  return views_.back()->Address();
+}
+
 void Store::Put(const std::string& aTopic,
                 const std::string& aKey,
                 const std::optional<std::string>& aValue)
@@ -441,8 +529,19 @@
   changed_.notify_all();
 }
 
-Response Store::Handle(const Request& aRequest)
+Response Store::Handle(const Request& aRequest, const Addresses& aAddresses)
 {
+  const auto seen = [&aAddresses](const std::string& aValue) {
+    json entry = json::parse(aValue, nullptr, false);
+    const auto found = entry.is_object()
+                         ? aAddresses.find(entry.value("address", ""))
+                         : aAddresses.end();
+    if (found == aAddresses.end()) {
+      return aValue;
+    }
+    entry["address"] = found->second;
+    return entry.dump();
+  };
   const auto query = Query(aRequest.target);
   const auto path = aRequest.target.substr(0, aRequest.target.find('?'));
   const auto field = [&query](const char* aName) {
@@ -460,7 +559,7 @@
     for (const auto& [key, offset] : newest) {
       if (entries[offset].value && key > field("depends_on")) {
         items.push_back({ { "key", key },
-                          { "value", Base64(*entries[offset].value) },
+                          { "value", Base64(seen(*entries[offset].value)) },
                           { "offset", offset } });
       }
     }
@@ -481,7 +580,7 @@
     for (std::size_t i = from; i < entries.size(); ++i) {
       const auto& [key, value] = entries[i];
       const std::string record =
-        BigEndian(key.size(), 1) + key + value.value_or("");
+        BigEndian(key.size(), 1) + key + (value ? seen(*value) : "");
       body += BigEndian(record.size(), 4) + record;
     }
     return { 200, body, "application/octet-stream" };
@@ -524,19 +623,6 @@
   return runs_;
 }
 
-void RunLog::Add(Order aOrder)
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  aOrder.atMs = NowMs();
-  orders_.push_back(std::move(aOrder));
-}
-
-std::vector<Order> RunLog::Orders() const
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return orders_;
-}
-
 // --- Worker
 
 Worker::Worker(Description aDescription,
@@ -565,21 +651,15 @@
   }
   server_->Stop();
   worker_.join();
+  if (network_.joinable()) {
+    network_.join();
+  }
 }
 
-void Worker::SetLabels(std::vector<std::string> aLabels)
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  description_.labels = std::move(aLabels);
-}
-
-void Worker::SetState(const std::string& aState)
+void Worker::DelayNextStart(std::int64_t aMs)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  state_ = aState;
-  WriteEntry();
-  record_.Write("worker's state is in the store",
-                { { "worker", description_.id }, { "state", aState } });
+  delayMs_ = aMs;
 }
 
 void Worker::Start()
@@ -631,7 +711,7 @@
                     { "zone", description_.zone },
                     { "version", "v1" },
                     { "slots", 8 },
-                    { "state", state_ },
+                    { "state", "ready" },
                     { "cold_remaining_ms", 0 },
                     { "capacity",
                       { { "cpu", description_.cpu },
@@ -727,17 +807,35 @@
   if (meant != aRequest.headers.end() && meant->second != description_.id) {
     return Reply(421, json::object());
   }
-  const auto slash = aRequest.target.rfind('/');
-  log_.Add({ description_.id,
-             0,
-             token,
-             aRequest.target.substr(slash + 1),
-             token < token_ });
+  const bool isStart = aRequest.target == "/hemlockhaven/run-start";
+  if (isStart && delayMs_ > 0) {
+    delayedAtMs_ = NowMs();
+    record_.Write("start is delayed on its way",
+                  { { "worker", description_.id },
+                    { "task", body.at("task") },
+                    { "run", body.at("run") },
+                    { "by ms", delayMs_ } });
+    const std::int64_t at = NowMs() + std::exchange(delayMs_, 0);
+    network_ = std::thread([this, at, request = aRequest] {
+      SleepUntilMs(at);
+      const Response late = Handle(request);
+      record_.Write("delayed start is carried out",
+                    { { "worker", description_.id },
+                      { "status", late.status },
+                      { "body", late.body } });
+    });
+    // The daemon gets no answer, and gives up by itself.
+    const std::int64_t until = NowMs() + 1000;
+    while (alive_ && NowMs() < until) {
+      changed_.wait_for(lock, std::chrono::milliseconds(20));
+    }
+    return {};
+  }
   if (token < token_) {
     return Conflict("fence");
   }
   token_ = token;
-  if (aRequest.target == "/hemlockhaven/run-start") {
+  if (isStart) {
     return HandleStart(body);
   }
   if (aRequest.target == "/hemlockhaven/run-stop") {
@@ -825,7 +923,7 @@
     finished.push_back(
       { ended.position, ended.task, ended.run, ended.how, "" });
   }
-  if (!reported_.exchange(true)) {
+  if (!std::exchange(reported_, true)) {
     record_.Write("worker's first report of this lifetime",
                   { { "worker", description_.id }, { "born", bornMs_ } });
   }
@@ -935,8 +1033,10 @@
                 { { "version", aManifest.at("version") } });
 }
 
-void Stage::WriteSettings(const Daemon& aDaemon)
+void Stage::Spawn(Daemon& aDaemon)
 {
+  const auto [run, settings] = DeployedRole();
+  const std::string path = folder_ + "/" + aDaemon.name + ".json";
   const std::map<std::string, json> fields{
     { "node", aDaemon.name },
     { "zone", aDaemon.zone },
@@ -945,21 +1045,19 @@
     { "limits.link_mbps", 1000.0 },
     { "listen.front", aDaemon.ip + ":" + std::to_string(kCallerPort) },
     { "listen.ready", aDaemon.ip + ":" + std::to_string(kReadinessPort) },
-    { "internal_ports.0", 7720 },
+    { "internal_ports.0", kLinkPort },
     { "seeds", seeds_ },
-    { "platform.address", store_->Address() },
+    { "platform.address",
+      aDaemon.store.empty() ? store_->Address() : aDaemon.store },
     { "bounds.hold_max_ms", kHoldMaxMs },
     { "bounds.grace_s", 6 },
   };
-  std::ofstream(folder_ + "/" + aDaemon.name + ".json")
-    << Fill(ReadFile(DeployedRole().second), fields);
-}
-
-void Stage::Spawn(Daemon& aDaemon)
-{
-  const std::string run = DeployedRole().first;
-  WriteSettings(aDaemon);
-  const std::string path = folder_ + "/" + aDaemon.name + ".json";
+  json filled = json::parse(Fill(ReadFile(settings), fields));
+  if (!aDaemon.announcedIp.empty()) {
+    filled["ip"] = aDaemon.announcedIp;
+    filled["listenIp"] = aDaemon.ip;
+  }
+  std::ofstream(path) << filled.dump();
   const std::string logPath = folder_ + "/" + aDaemon.name + ".log";
   std::vector<std::string> words;
   std::istringstream split(run);
@@ -993,7 +1091,7 @@
 {
   for (std::size_t i = 0; i < aZones.size(); ++i) {
     daemons_.push_back(
-      { "front-" + aZones[i] + "-" + std::to_string(i + 1), FreeIp(), aZones[i], -1 });
+      { "front-" + aZones[i] + "-" + std::to_string(i + 1), FreeIp(), aZones[i], -1, "", "" });
     if (i < 3) {
       seeds_.push_back(daemons_.back().ip + ":" + std::to_string(kControlPort));
     }
@@ -1001,6 +1099,11 @@
   for (std::size_t i = 0; i < aZones.size(); ++i) {
     Spawn(daemons_[i]);
   }
+  AwaitReady();
+}
+
+void Stage::AwaitReady()
+{
   const std::int64_t limit = NowMs() + 15000;
   for (std::size_t i = 0; i < daemons_.size(); ++i) {
     while (!IsReady(i)) {
@@ -1025,43 +1128,45 @@
            .status == 200;
 }
 
-void Stage::Signal(std::size_t aNumber, int aSignal)
+void Stage::StartTwoZones(const std::string& aFirst, const std::string& aSecond)
 {
-  Daemon& daemon = daemons_[aNumber];
-  record_.Write("signal",
-                { { "daemon", daemon.name }, { "signal", aSignal } });
-  ::kill(daemon.pid, aSignal);
-  if (aSignal == SIGKILL) {
-    ::waitpid(daemon.pid, nullptr, 0);
-    daemon.pid = -1;
+  const std::string zones[] = { aFirst, aSecond };
+  for (const std::string& zone : zones) {
+    daemons_.push_back({ "front-" + zone + "-1", FreeIp(), zone, -1, "", FreeIp() });
+    seeds_.push_back(daemons_.back().announcedIp + ":" +
+                     std::to_string(kControlPort));
   }
+  const auto add = [this](const std::string& aIp,
+                          std::uint16_t aPort,
+                          const std::string& aTarget) {
+    links_.push_back(std::make_unique<Link>(aIp, aPort, aTarget));
+    return links_.back()->Address();
+  };
+  add(FreeIp(), kCallerPort, Entry(0));
+  for (std::size_t i = 0; i < 2; ++i) {
+    add(daemons_[i].announcedIp, kLinkPort, daemons_[i].ip + ":" + std::to_string(kLinkPort));
+    std::map<std::string, std::string> addresses;
+    for (const auto& worker : workers_) {
+      if (worker->Zone() != zones[i]) {
+        addresses[worker->Address()] =
+          add(FreeIp(), kWorkerPort, worker->Address());
+      }
+    }
+    daemons_[i].store = store_->AddView(FreeIp(), std::move(addresses));
+  }
+  daemons_[0].store = add(FreeIp(), kStorePort, daemons_[0].store);
+  for (Daemon& daemon : daemons_) {
+    Spawn(daemon);
+  }
+  AwaitReady();
 }
 
-void Stage::Restart(std::size_t aNumber)
-{
-  Spawn(daemons_[aNumber]);
-}
-
-std::size_t Stage::AddDaemon(const std::string& aZone)
-{
-  daemons_.push_back({ "front-" + aZone + "-" +
-                         std::to_string(daemons_.size() + 1),
-                       FreeIp(),
-                       aZone,
-                       -1 });
-  Spawn(daemons_.back());
-  return daemons_.size() - 1;
-}
-
-void Stage::SetSeeds(std::size_t aOf, const std::vector<std::size_t>& aDaemons)
+void Stage::CutFirstZone(bool aIsCut)
 {
-  seeds_.clear();
-  for (const std::size_t number : aDaemons) {
-    seeds_.push_back(daemons_[number].ip + ":" + std::to_string(kControlPort));
+  record_.Write(aIsCut ? "the first zone is cut off" : "the cut ends");
+  for (const auto& link : links_) {
+    link->Cut(aIsCut);
   }
-  WriteSettings(daemons_[aOf]);
-  record_.Write("settings file is rewritten",
-                { { "daemon", daemons_[aOf].name }, { "seeds", seeds_ } });
 }
 
 std::string Stage::Entry(std::size_t aNumber) const
@@ -1105,6 +1210,7 @@
       daemon.pid = -1;
     }
   }
+  links_.clear();
   workers_.clear();
   if (!folder_.empty()) {
     const char* keep = std::getenv("KEEP_LOGS");
--- a/review/standins-2/Stage.hpp
+++ b/review/standins-2/Stage.hpp
@@ -102,12 +102,43 @@
               const std::string& aBody,
               std::int64_t aTimeoutMs);
 
+//! Forwards connections. While it is cut, it passes nothing on, neither bytes
+//! nor ends of connections, as a partition does.
+class Link
+{
+public:
+  Link(std::string aIp, std::uint16_t aPort, std::string aTarget);
+  ~Link();
+  void Cut(bool aIsCut) { isCut_ = aIsCut; }
+  //! Ends the connections on the side that opened them; the other side hears
+  //! of it when the link isn't cut any more.
+  void BreakOpeners();
+  std::string Address() const { return ip_ + ":" + std::to_string(port_); }
+
+private:
+  void Forward(int aOpener);
+
+  std::string ip_;
+  std::uint16_t port_;
+  std::string target_;
+  std::atomic<bool> isCut_{ false };
+  std::atomic<bool> running_{ true };
+  std::atomic<int> generation_{ 0 };
+  std::atomic<int> forwarding_{ 0 };
+  int listener_;
+  std::thread acceptor_;
+};
+
 //! The platform's store: a log with keyed topics.
 class Store
 {
 public:
   Store(const std::string& aIp, std::uint16_t aPort);
   std::string Address() const { return server_.Address(); }
+  //! Another address of the same store, which gives these workers, by their
+  //! addresses, under other addresses.
+  std::string AddView(const std::string& aIp,
+                      std::map<std::string, std::string> aAddresses);
   void Put(const std::string& aTopic,
            const std::string& aKey,
            const std::optional<std::string>& aValue);
@@ -118,12 +149,14 @@
     std::string key;
     std::optional<std::string> value;
   };
-  Response Handle(const Request& aRequest);
+  using Addresses = std::map<std::string, std::string>;
+  Response Handle(const Request& aRequest, const Addresses& aAddresses);
 
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, std::vector<Entry>> topics_;
   Server server_;
+  std::vector<std::unique_ptr<Server>> views_;
 };
 
 //! One run of a task at a worker.
@@ -139,16 +172,6 @@
   std::string how;
 };
 
-//! An order that a worker has carried out or refused.
-struct Order
-{
-  std::string worker;
-  std::int64_t atMs = 0;
-  std::uint64_t token = 0;
-  std::string what; //!< "run-start", "run-stop" or "hold".
-  bool fenced = false;
-};
-
 //! All runs at all workers, in the order of their starts.
 class RunLog
 {
@@ -160,14 +183,11 @@
   std::size_t Begin(Run aRun);
   void End(std::size_t aNumber, const std::string& aHow);
   std::vector<Run> All() const;
-  void Add(Order aOrder);
-  std::vector<Order> Orders() const;
 
 private:
   Record& record_;
   mutable std::mutex mutex_;
   std::vector<Run> runs_;
-  std::vector<Order> orders_;
 };
 
 //! A worker: starts, stops, leases and lists as PROTOCOL.md says. The spec of a
@@ -193,13 +213,14 @@
   void Start();
   //! The process ends; nothing is written to the store.
   void Crash();
-  void SetLabels(std::vector<std::string> aLabels);
-  //! Writes this state ("ready", "draining") to the store at once.
-  void SetState(const std::string& aState);
+  //! The next start order is delayed on its way: it gets no answer, and the
+  //! process that listens here by then carries it out aMs later.
+  void DelayNextStart(std::int64_t aMs);
+  //! When an order that was delayed has left, or -1.
+  std::int64_t DelayedAtMs() const { return delayedAtMs_; }
   std::string Id() const { return description_.id; }
-  std::int64_t BornMs() const { return bornMs_; }
-  //! Whether the present lifetime has answered a hold.
-  bool HasReported() const { return reported_; }
+  std::string Zone() const { return description_.zone; }
+  std::string Address() const { return server_->Address(); }
 
 private:
   struct Active
@@ -234,7 +255,9 @@
   Record& record_;
   std::mutex mutex_;
   std::condition_variable changed_;
-  std::string state_ = "ready";
+  std::int64_t delayMs_ = 0;
+  std::atomic<std::int64_t> delayedAtMs_{ -1 };
+  std::thread network_;
   bool alive_ = false;
   bool quit_ = false;
   std::int64_t bornMs_ = 0;
@@ -248,7 +271,7 @@
   std::map<std::string, Active> active_;
   std::map<std::string, std::uint32_t> highest_; //!< Stopped or ended runs.
   std::deque<Ended> ended_;
-  std::atomic<bool> reported_{ false };
+  bool reported_ = false; //!< Whether this lifetime has answered a hold.
   std::unique_ptr<Server> server_;
   std::thread worker_;
 };
@@ -288,20 +311,17 @@
   void PutManifest(const json& aManifest);
   //! Starts one daemon in each of these zones, and waits until all are ready.
   void StartDaemons(const std::vector<std::string>& aZones);
+  //! The same for two daemons in two zones, with a link wherever something goes
+  //! from one zone to the other, and between the first zone and the platform.
+  void StartTwoZones(const std::string& aFirst, const std::string& aSecond);
+  //! Cuts the first of the two zones off from the other and the platform.
+  void CutFirstZone(bool aIsCut);
+  //! The balancer's channel to the daemon of the first zone.
+  Link& FirstZoneChannel() { return *links_.front(); }
   //! The address for clients of daemon number aNumber.
   std::string Entry(std::size_t aNumber) const;
   //! Asks a daemon whether it is ready for clients.
   bool IsReady(std::size_t aNumber) const;
-  //! Sends a signal to a daemon. After SIGKILL it has ended on return.
-  void Signal(std::size_t aNumber, int aSignal);
-  //! Starts a daemon again that has ended.
-  void Restart(std::size_t aNumber);
-  //! Starts a daemon on a new address, with the seeds as they are now.
-  //! Returns its number.
-  std::size_t AddDaemon(const std::string& aZone);
-  //! The daemons whose addresses the settings files give as seeds; rewrites
-  //! the file of daemon number aOf.
-  void SetSeeds(std::size_t aOf, const std::vector<std::size_t>& aDaemons);
   std::vector<std::unique_ptr<Worker>>& Workers() { return workers_; }
   //! Sends a client's request and records it and its answer.
   Response Send(const std::string& aNote,
@@ -322,9 +342,11 @@
     std::string ip;
     std::string zone;
     pid_t pid = -1;
+    std::string store;       //!< Its address of the store.
+    std::string announcedIp; //!< Where the others reach it, if not at its ip.
   };
-  void WriteSettings(const Daemon& aDaemon);
   void Spawn(Daemon& aDaemon);
+  void AwaitReady();
 
   bool hasTrouble_;
   Record record_;
@@ -332,6 +354,7 @@
   std::string folder_;
   std::string network_; //!< "127.x.y."
   int nextHost_ = 10;
+  std::vector<std::unique_ptr<Link>> links_;
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<Daemon> daemons_;
