Start nothing in an evacuated availability zone

Endpoints of such a zone are unusable and left out of the forecast. With the check in EndpointEntry removed, the tests scheduler.Evacuation and coordinator.Evacuation fail.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -95,6 +95,9 @@
   void SetListPosition(const ListPosition& aPosition,
                        const EndpointsInUse& aListed);
 
+  //! Sets the availability zones whose endpoints get no starts.
+  void SetEvacuatedZones(Span<const std::string> aZones);
+
   //! Sets whether this daemon may lead: not while it knows no endpoints, is too
   //! slow, or is stopping. aReason is logged if it steps down.
   void SetCanLead(bool aCanLead, std::string_view aReason);
@@ -155,8 +158,10 @@
   double lastLoggedShare_ = 0;
   mutable std::mutex schedulersMutex_;
   std::map<std::string, std::shared_ptr<Scheduler>>
-    schedulers_;            //!< By service.
-  std::uint64_t token_ = 0; //!< Guarded by schedulersMutex_; 0 if not leading.
+    schedulers_; //!< By service.
+  // Guarded by schedulersMutex_:
+  std::uint64_t token_ = 0; //!< 0 if not leading.
+  std::vector<std::string> evacuatedZones_;
 };
 
 }
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -33,6 +33,7 @@
   std::size_t activeRuns = 0;
   std::size_t endpoints = 0;
   std::size_t usableEndpoints = 0;
+  std::size_t evacuatedEndpoints = 0; //!< In evacuated availability zones.
   std::int64_t freeCpuMillis = 0;
 };
 
@@ -60,6 +61,9 @@
 
   //! Sets the current endpoints; others get no new runs.
   SchedulerEffects SetEndpoints(Span<const ListedEndpoint> aEndpoints);
+  //! Sets the evacuated availability zones: their endpoints get no new runs,
+  //! and admission does not count on them. Active runs there continue.
+  SchedulerEffects SetEvacuatedZones(Span<const std::string> aZones);
   //! Sets the availability zone that the endpoints of the last SetEndpoints are
   //! limited to; empty: all zones. After a change, endpoints that are not
   //! listed any more are forgotten, since another leader has them: to poll them
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -29,6 +29,7 @@
 {
   std::shared_ptr<Scheduler> scheduler;
   std::uint64_t token = 0;
+  std::vector<std::string> evacuatedZones;
   {
     const std::lock_guard<std::mutex> lock(schedulersMutex_);
     auto& entry = schedulers_[aService];
@@ -38,7 +39,9 @@
     entry = std::make_shared<Scheduler>(policy_, clock_);
     scheduler = entry;
     token = token_;
+    evacuatedZones = evacuatedZones_;
   }
+  Apply(*scheduler, scheduler->SetEvacuatedZones(evacuatedZones));
   if (token != 0) {
     Apply(*scheduler, scheduler->StartTerm(token));
   }
@@ -364,6 +367,17 @@
   }
 }
 
+void Coordinator::SetEvacuatedZones(Span<const std::string> aZones)
+{
+  {
+    const std::lock_guard<std::mutex> lock(schedulersMutex_);
+    evacuatedZones_.assign(aZones.begin(), aZones.end());
+  }
+  for (const auto& scheduler : Schedulers()) {
+    Apply(*scheduler, scheduler->SetEvacuatedZones(aZones));
+  }
+}
+
 void Coordinator::SetListPosition(const ListPosition& aPosition,
                                   const EndpointsInUse& aListed)
 {
@@ -422,6 +436,7 @@
     sum.activeRuns += load.activeRuns;
     sum.endpoints += load.endpoints;
     sum.usableEndpoints += load.usableEndpoints;
+    sum.evacuatedEndpoints += load.evacuatedEndpoints;
     sum.freeCpuMillis += load.freeCpuMillis;
   }
   return sum;
--- a/src/scheduler/EndpointEntry.cpp
+++ b/src/scheduler/EndpointEntry.cpp
@@ -15,6 +15,9 @@
   if (!isListed) {
     return "not listed";
   }
+  if (isEvacuated) {
+    return "zone evacuated";
+  }
   if (aNow < usableAt) {
     return "just listed";
   }
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -57,7 +57,8 @@
   // Bounds on the position where it left the list, if it is not listed.
   std::uint64_t leftFrom = 0;
   std::uint64_t leftBy = 0;
-  TimePoint usableAt{}; //!< Other daemons know the endpoint by then.
+  bool isEvacuated = false; //!< Its availability zone is evacuated.
+  TimePoint usableAt{};     //!< Other daemons know the endpoint by then.
   Resources free;
   //! Active runs of known work.
   std::vector<std::pair<WorkEntry*, TaskEntry*>> runs;
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -72,6 +72,13 @@
   });
 }
 
+SchedulerEffects Scheduler::SetEvacuatedZones(Span<const std::string> aZones)
+{
+  return CallLocked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
+    aState.SetEvacuatedZones(aZones, aEffects);
+  });
+}
+
 void Scheduler::SetPart(std::string_view aPart)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -51,16 +51,22 @@
 {
   const auto& steps = aEntry.Spec().steps;
   return std::all_of(steps.begin(), steps.end(), [this](const WorkStep& aStep) {
-    return std::any_of(
-      endpoints_.begin(), endpoints_.end(), [&aStep](const auto& aPair) {
-        const EndpointEntry& endpoint = aPair.second;
-        return aStep.taskResources.FitsInto(endpoint.listed.capacity) &&
-               (aStep.requiredLabel.empty() ||
-                endpoint.HasLabel(aStep.requiredLabel));
-      });
+    return HasEndpointFor(aStep);
   });
 }
 
+bool SchedulerState::HasEndpointFor(const WorkStep& aStep) const
+{
+  return std::any_of(
+    endpoints_.begin(), endpoints_.end(), [&aStep](const auto& aPair) {
+      const EndpointEntry& endpoint = aPair.second;
+      return !endpoint.isEvacuated &&
+             aStep.taskResources.FitsInto(endpoint.listed.capacity) &&
+             (aStep.requiredLabel.empty() ||
+              endpoint.HasLabel(aStep.requiredLabel));
+    });
+}
+
 std::size_t SchedulerState::SampleStride() const
 {
   return 1 + (endpoints_.size() - 1) / kMaxForecastEndpoints;
@@ -87,7 +93,8 @@
         releases.push_back({ end, entry->StepOf(*task).taskResources });
       }
       forecast.AddEndpoint(endpoint.free, endpoint.speed.Value(), releases);
-    } else if (takingOver && endpoint.isListed && !endpoint.listed.draining) {
+    } else if (takingOver && endpoint.isListed && !endpoint.isEvacuated &&
+               !endpoint.listed.draining) {
       releases.push_back(
         { now_ + kFirstPollReplyTime, endpoint.listed.capacity });
       forecast.AddEndpoint({}, endpoint.speed.Value(), releases);
@@ -272,8 +279,8 @@
   SetObjective(entry);
   AdmissionResult verdict;
   if (!CanEverRun(entry)) {
-    verdict.reason = endpoints_.empty() ? "no endpoints are known"
-                                        : "no endpoint is large enough";
+    verdict.reason =
+      endpoints_.empty() ? "no endpoints are known" : "no suitable endpoint";
     verdict.retryAfter = policy_.minRetryAfter;
   } else if (entry.Spec().submissions > 0) {
     // It was accepted before, and some of its tasks may have run.
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -125,6 +125,7 @@
     listedIds.insert(listed.id);
     const auto [found, isNew] = endpoints_.try_emplace(listed.id, listed);
     EndpointEntry& endpoint = found->second;
+    endpoint.isEvacuated = evacuatedZones_.count(listed.zone) > 0;
     if (isNew) {
       endpoint.usableAt = now_ + policy_.newEndpointDelay;
       if (IsLeading()) {
@@ -163,6 +164,17 @@
   Dispatch(aEffects);
 }
 
+void SchedulerState::SetEvacuatedZones(Span<const std::string> aZones,
+                                       SchedulerEffects& aEffects)
+{
+  evacuatedZones_.clear();
+  evacuatedZones_.insert(aZones.begin(), aZones.end());
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.isEvacuated = evacuatedZones_.count(endpoint.listed.zone) > 0;
+  }
+  Dispatch(aEffects);
+}
+
 void SchedulerState::SendPoll(EndpointEntry& aEndpoint,
                               Duration aWait,
                               SchedulerEffects& aEffects)
@@ -374,6 +386,7 @@
   }
   load.endpoints = endpoints_.size();
   for (const auto& [id, endpoint] : endpoints_) {
+    load.evacuatedEndpoints += endpoint.isEvacuated ? 1 : 0;
     if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
       ++load.usableEndpoints;
       load.freeCpuMillis += endpoint.free.cpuMillis;
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace hemlockhaven::Detail {
@@ -36,6 +37,8 @@
   void SetPart(std::string_view aPart);
   void SetEndpoints(Span<const ListedEndpoint> aEndpoints,
                     SchedulerEffects& aEffects);
+  void SetEvacuatedZones(Span<const std::string> aZones,
+                         SchedulerEffects& aEffects);
   void Submit(std::string_view aEntryVm,
               Work aWork,
               SchedulerEffects& aEffects);
@@ -95,6 +98,8 @@
                                              std::size_t aStride) const;
   Duration PredictTask(const WorkEntry& aEntry, std::uint32_t aStep) const;
   bool CanEverRun(const WorkEntry& aEntry) const;
+  //! Whether an endpoint that may get starts could run a task of the step.
+  bool HasEndpointFor(const WorkStep& aStep) const;
 
   // SchedulerDispatch.cpp
   void Dispatch(SchedulerEffects& aEffects);
@@ -247,6 +252,7 @@
   std::string part_;
   std::optional<TimePoint> dividedAt_; //!< Last change of part_.
   std::uint64_t erasedUpTo_ = 0;
+  std::unordered_set<std::string> evacuatedZones_;
   std::unordered_map<std::string, EndpointEntry> endpoints_;
   WorkMap works_;
   Queue queue_;
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -50,6 +50,7 @@
   , dice_(aOptions.seed)
   , timerDice_(aOptions.seed)
 {
+  startCounts_.resize(aOptions.endpoints);
   for (std::size_t i = 0; i < aOptions.endpoints; ++i) {
     endpoints_.push_back(std::make_unique<FakeEndpoint>(
       EndpointTimeline(),
@@ -57,9 +58,10 @@
       aOptions.capacity,
       aOptions.speeds[i % aOptions.speeds.size()],
       [this](const TaskKey& aTask) { return work(aTask); },
-      [this](const RunEvent& aEvent) {
+      [this, i](const RunEvent& aEvent) {
         const std::string name = TaskName(aEvent.task);
         const bool began = !aEvent.outcome;
+        startCounts_[i] += began ? 1 : 0;
         int& active = active_[name];
         active += began ? 1 : -1;
         runCount_ += began ? 1 : 0;
@@ -185,6 +187,7 @@
     member.address = "d" + std::to_string(other);
     node.coordinator->AddMember(member);
   }
+  node.coordinator->SetEvacuatedZones(evacuatedZones_);
   if (options_.readsEndpointList) {
     node.registry = std::make_unique<Platform::EndpointRegistry>(
       time_.AsClock(), [this](const std::string& aId, const std::string& aWhy) {
@@ -635,6 +638,16 @@
   }
 }
 
+void Cluster::SetEvacuatedZones(std::vector<std::string> aZones)
+{
+  evacuatedZones_ = std::move(aZones);
+  for (const DaemonState& daemon : daemons_) {
+    if (daemon.up) {
+      daemon.coordinator->SetEvacuatedZones(evacuatedZones_);
+    }
+  }
+}
+
 void Cluster::PutListEntry(std::size_t aEndpoint)
 {
   endpointStore_.Put(Listed(aEndpoint));
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -108,6 +108,13 @@
   //! Updates the endpoint list of all running daemons, leaving out
   //! the endpoints in aWithout.
   void ListEndpoints(const std::set<std::size_t>& aWithout = {});
+  //! Evacuates zones at all running daemons and at those that start later.
+  void SetEvacuatedZones(std::vector<std::string> aZones);
+  //! Number of runs that began at the endpoint.
+  std::size_t StartCount(std::size_t aEndpoint) const
+  {
+    return startCounts_[aEndpoint];
+  }
   //! Adds or expires the endpoint's record in the store.
   void PutListEntry(std::size_t aEndpoint);
   void ExpireListEntry(std::size_t aEndpoint);
@@ -225,6 +232,8 @@
   std::map<std::string, std::uint64_t> waiterIds_; //!< By work id.
   std::vector<std::string> overlappingTasks_;
   std::size_t runCount_ = 0;
+  std::vector<std::size_t> startCounts_; //!< By endpoint.
+  std::vector<std::string> evacuatedZones_;
 };
 
 }
--- a/tests/support/ManualScheduler.cpp
+++ b/tests/support/ManualScheduler.cpp
@@ -23,14 +23,30 @@
 ManualScheduler::ManualScheduler(std::size_t aEndpoints)
   : scheduler_(SchedulerPolicy(), [this] { return now_; })
 {
-  std::vector<ListedEndpoint> listed(aEndpoints);
-  for (std::size_t i = 0; i < aEndpoints; ++i) {
+  ListEndpoints(aEndpoints);
+  StartTerm(1);
+  Run(1000);
+}
+
+void ManualScheduler::ListEndpoints(std::size_t aCount)
+{
+  std::vector<ListedEndpoint> listed(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
     listed[i].id = listed[i].address = EndpointName(i);
+    listed[i].zone = i % 2 == 0 ? "a" : "b";
     listed[i].capacity = { 1000, 1000, 0 };
   }
   Apply(scheduler_.SetEndpoints(listed));
-  Apply(scheduler_.StartTerm(1));
-  Run(1000);
+}
+
+void ManualScheduler::StartTerm(std::uint64_t aToken)
+{
+  Apply(scheduler_.StartTerm(aToken));
+}
+
+void ManualScheduler::SetEvacuatedZones(const std::vector<std::string>& aZones)
+{
+  Apply(scheduler_.SetEvacuatedZones(aZones));
 }
 
 void ManualScheduler::AdvanceTime(std::int64_t aMilliseconds)
@@ -123,6 +139,7 @@
   }
   for (const StartCommand& start : aEffects.starts) {
     starts.push_back(start.run.task.workId);
+    startEndpoints.push_back(start.target.endpoint);
     running_[start.target.endpoint].push_back(start.run);
     Apply(
       scheduler_.OnStartReply(start, { CommandOutcome::Accepted, ClockMs() }));
@@ -134,6 +151,9 @@
   decisions.insert(
     decisions.end(), aEffects.decisions.begin(), aEffects.decisions.end());
   for (const WorkAnswer& answer : aEffects.answers) {
+    if (answer.outcome == WorkOutcome::Refused) {
+      refused.push_back(answer.reason);
+    }
     if (answer.outcome == WorkOutcome::Cancelled) {
       cancelled.push_back(answer.entryVm + " " + answer.workId);
     }
--- a/tests/support/ManualScheduler.h
+++ b/tests/support/ManualScheduler.h
@@ -13,12 +13,16 @@
 
 //! A leading scheduler whose clock, ticks and poll replies the test controls
 //! one by one. Each endpoint has room for one task; starts are accepted at
-//! once.
+//! once. Endpoints with even numbers are in zone "a", the others in zone "b".
 class ManualScheduler
 {
 public:
   explicit ManualScheduler(std::size_t aEndpoints);
 
+  //! Lists the first aCount endpoints.
+  void ListEndpoints(std::size_t aCount);
+  void StartTerm(std::uint64_t aToken);
+  void SetEvacuatedZones(const std::vector<std::string>& aZones);
   void AdvanceTime(std::int64_t aMilliseconds);
   void Tick();
   //! Lets time pass with ticks, and answers all polls meanwhile.
@@ -41,12 +45,16 @@
 
   std::int64_t callerTimeoutMs = 30000; //!< Of work that is submitted next.
   std::vector<std::string> starts;      //!< Ids of the started work, in order.
+  std::vector<std::string> startEndpoints; //!< Where, in the same order.
+  std::vector<std::string> refused;        //!< Reasons, in order.
   std::vector<std::string> stops;
   //! "ENTRY-VM ID", for each answer with the outcome Cancelled.
   std::vector<std::string> cancelled;
   std::vector<PollCommand> polls; //!< All that were sent.
   std::vector<Decision> decisions;
 
+  SchedulerLoad Load() const { return scheduler_.Load(); }
+
 private:
   void Apply(const SchedulerEffects& aEffects);
   std::int64_t ClockMs() const;
