Elect one leader soon after a loss of power, and in an isolated zone

(2) The members of a zone that was cut off waited 2.2 s for preferred members of other zones, which exchange slow heartbeats and count as alive for 3.5 s.

Lists of members go out at the fast interval while either side has just started, discovery ends when no member was learned of for 0.15 s, and no list is divided before that. A daemon without a leader asks the preferred members, and passes over those that do not answer within 0.2 s.

--- a/include/hemlockhaven/coordinator/PartDivision.h
+++ b/include/hemlockhaven/coordinator/PartDivision.h
@@ -40,6 +40,9 @@
   {
     double endpointsPerLeader = 0;     //!< Of the most capable daemon.
     bool isOtherLeaderDivided = false; //!< It leads one zone only.
+    //! More capable daemons may be unknown yet, so that the list is not divided
+    //! for want of them.
+    bool isDiscovering = false;
   };
 
   //! Returns the endpoints of this daemon's part.
--- a/include/hemlockhaven/leadership/Heartbeat.h
+++ b/include/hemlockhaven/leadership/Heartbeat.h
@@ -44,6 +44,9 @@
   bool wantsReply = true;
   double shedShare = 0; //!< Share of new work that a leader refuses.
   bool canLead = false; //!< Whether the sender may become leader now.
+  //! Whether the sender follows a leader or leads. Without one it asks its
+  //! likely successors for frequent heartbeats.
+  bool hasLeader = false;
   bool leaving = false;
   //! Members for discovery: all alive ones in a small group, otherwise those
   //! that the addressee has not been told of.
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,11 +37,22 @@
   //! Time without a leader before a daemon takes over, since members do not
   //! detect the loss of a leader at the same moment.
   Duration electionDelay{ 60000 };
+  //! Time without a leader after which a member that has not been heard since
+  //! is passed over, though its slow heartbeats are not overdue yet: two fast
+  //! heartbeats and a reply. Without it the members of an isolated zone would
+  //! wait for preferred members of other zones for seconds.
+  Duration successionProbeTime{ 200000 };
+  //! Preferred members that a daemon without a leader asks.
+  std::size_t maxProbedSuccessors = 16;
   //! Time to receive heartbeats again after this process was suspended.
   Duration resumeDelay{ 150000 };
   //! Time to discover members after the start. Daemons that start together
   //! discover each other within 0.4 s.
   Duration discoveryPeriod{ 500000 };
+  //! Discovery goes on until no member has been learned of for this time, ...
+  Duration discoveryQuietTime{ 150000 };
+  //! ... and ends after this time whatever happens.
+  Duration maxDiscoveryPeriod{ 1500000 };
   //! Time after the start in which seeds of other parts get heartbeats. They
   //! know the members that started before.
   Duration seedContactTime{ 5000000 };
@@ -140,6 +152,9 @@
   //! Returns the share of new work that the leader last reported to refuse.
   double LeaderShedShare() const;
 
+  //! Whether members that started with this daemon may still be unknown.
+  bool IsDiscovering() const;
+
   //! Returns whether another leader leads the endpoints of one zone only.
   bool IsOtherLeaderDivided() const;
 
@@ -162,6 +177,7 @@
   struct MemberState
   {
     Member member;
+    bool isSeed = false; //!< Its address came from AddMember.
     bool heard = false;
     bool alive = false;
     bool disconnected = false; //!< Its link closed.
@@ -206,6 +222,15 @@
   Duration MemberTimeout(const MemberState& aState) const;
   //! Sets the interval of heartbeats to each member.
   void UpdateHeartbeatIntervals();
+  //! The best-ranked members that may lead, which a daemon without a leader
+  //! asks for frequent heartbeats.
+  std::set<const MemberState*> ProbedSuccessors() const;
+  //! Whether a member without a leader waits for heartbeats of this daemon.
+  bool IsProbedBy(const MemberState& aState) const;
+  //! Whether either side of this link has just started, so that it needs lists
+  //! of members at once.
+  bool IsDiscoveryLink(const MemberState& aState) const;
+  bool IsDiscoveringAt(TimePoint aTime) const;
   //! The same for a member of another part.
   void UpdateDistantInterval(MemberState& aState, bool aHasPeers) const;
   //! Opens the link to a member anew if it does not answer: the connection may
@@ -250,6 +275,7 @@
   TimePoint now_{};
   std::map<std::string, MemberState> members_; //!< By address.
   std::uint64_t learnedCount_ = 0; //!< Of members with more than an address.
+  TimePoint learnedAt_{};          //!< When the last one was learned.
   std::string part_;
   bool knowsPart_ = false; //!< Set by SetPart, not by another daemon.
   std::uint64_t sequence_ = 0;
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -303,6 +303,7 @@
       inputs.endpointsPerLeader, PartDivision::EndpointsPerLeader(aMember));
   });
   inputs.isOtherLeaderDivided = election_.IsOtherLeaderDivided();
+  inputs.isDiscovering = election_.IsDiscovering();
   return inputs;
 }
 
--- a/src/coordinator/PartDivision.cpp
+++ b/src/coordinator/PartDivision.cpp
@@ -21,6 +21,9 @@
                                 const Inputs& aInputs) const
 {
   const bool isDividedAnywhere = isDivided_ || aInputs.isOtherLeaderDivided;
+  if (aInputs.isDiscovering && !isDividedAnywhere) {
+    return false;
+  }
   return static_cast<double>(aEndpointCount) >
          aInputs.endpointsPerLeader * (isDividedAnywhere ? kMergeShare : 1);
 }
--- a/src/leadership/ElectionHeartbeats.cpp
+++ b/src/leadership/ElectionHeartbeats.cpp
@@ -26,6 +26,45 @@
 
 }
 
+bool LeaderElection::IsDiscoveryLink(const MemberState& aState) const
+{
+  const Duration period = 2 * parameters_.discoveryPeriod;
+  return now_ - startedAt_ < period ||
+         (aState.alive && now_ - aState.aliveSince < period);
+}
+
+std::set<const LeaderElection::MemberState*> LeaderElection::ProbedSuccessors()
+  const
+{
+  std::vector<std::pair<Rank, const MemberState*>> preferred;
+  if (!leader_.empty()) {
+    return {};
+  }
+  for (const auto& [address, state] : members_) {
+    // A member that was lost moments ago may be back before it is alive here.
+    if (IsPeer(state) && state.heard && state.lastHeartbeat.canLead &&
+        !state.lastHeartbeat.leaving &&
+        now_ - state.heardAt <= parameters_.memberRetention &&
+        RankOf(state.member) < RankOf(self_)) {
+      preferred.emplace_back(RankOf(state.member), &state);
+    }
+  }
+  std::sort(preferred.begin(), preferred.end());
+  preferred.resize(std::min(preferred.size(), parameters_.maxProbedSuccessors));
+  std::set<const MemberState*> probed;
+  for (const auto& [rank, state] : preferred) {
+    probed.insert(state);
+  }
+  return probed;
+}
+
+bool LeaderElection::IsProbedBy(const MemberState& aState) const
+{
+  return aState.alive && canLead_ && !aState.lastHeartbeat.hasLeader &&
+         aState.lastHeartbeat.interval <= parameters_.heartbeatInterval &&
+         RankOf(self_) < RankOf(aState.member);
+}
+
 void LeaderElection::UpdateHeartbeatIntervals()
 {
   std::vector<std::pair<Rank, const MemberState*>> candidates;
@@ -47,6 +86,7 @@
   const bool selfNeedsFastHeartbeats =
     token_ != 0 || preferredCount < parameters_.successorCount;
   candidates.resize(std::min(candidates.size(), parameters_.successorCount));
+  const std::set<const MemberState*> probed = ProbedSuccessors();
   const bool discovering = now_ - startedAt_ < 2 * parameters_.discoveryPeriod;
   const bool hasPeers =
     std::any_of(members_.begin(), members_.end(), [this](const auto& aPair) {
@@ -58,16 +98,21 @@
       continue;
     }
     state.wantsReply = true;
+    const bool asksForMembers =
+      state.lastHeartbeat.interval <= parameters_.heartbeatInterval &&
+      state.alive && now_ - state.aliveSince < 2 * parameters_.discoveryPeriod;
     const bool needsFastHeartbeats =
-      state.lastHeartbeat.leaderToken != 0 ||
+      state.lastHeartbeat.leaderToken != 0 || asksForMembers ||
+      (discovering && state.isSeed) || IsProbedBy(state) ||
       std::any_of(candidates.begin(),
                   candidates.end(),
                   [&state = state](const auto& aCandidate) {
                     return aCandidate.second == &state;
                   });
-    const bool isFast = state.alive ? isSmallGroup || selfNeedsFastHeartbeats ||
-                                        needsFastHeartbeats
-                                    : discovering;
+    const bool isFast = state.alive
+                          ? isSmallGroup || selfNeedsFastHeartbeats ||
+                              needsFastHeartbeats || probed.count(&state) > 0
+                          : discovering || probed.count(&state) > 0;
     state.interval = isFast ? parameters_.heartbeatInterval
                             : parameters_.slowHeartbeatInterval;
   }
@@ -137,6 +182,7 @@
   heartbeat.endpointsInUse = token_ != 0 ? endpointsInUse_ : EndpointsInUse();
   heartbeat.shedShare = shedShare_;
   heartbeat.canLead = canLead_ && now_ >= backoffUntil_;
+  heartbeat.hasLeader = !leader_.empty();
   heartbeat.leaving = leaving_;
   heartbeat.part = part_;
   heartbeat.endpointsInUse.part = part_;
@@ -153,6 +199,7 @@
     MemberState& state = members_[other.address];
     if (state.learnedAs == 0) {
       state.learnedAs = ++learnedCount_;
+      learnedAt_ = now_;
       state.member = other;
       state.member.incarnation = 0; // Unknown until it is heard.
     }
@@ -176,8 +223,12 @@
     aState.listRestartedAt = now_;
     aState.listAcknowledged = 0;
   }
+  // Daemons that start at the same time are learned of one after the other.
+  const Duration listInterval = IsDiscoveryLink(aState)
+                                  ? parameters_.heartbeatInterval
+                                  : parameters_.slowHeartbeatInterval;
   if (aState.listAcknowledged == learnedCount_ ||
-      now_ - aState.listSentAt < parameters_.slowHeartbeatInterval) {
+      now_ - aState.listSentAt < listInterval) {
     return listed;
   }
   std::vector<const MemberState*> untold;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -41,7 +41,9 @@
 {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (aMember.address != self_.address) {
-    members_[aMember.address].member.address = aMember.address;
+    MemberState& state = members_[aMember.address];
+    state.member.address = aMember.address;
+    state.isSeed = true;
   }
 }
 
@@ -163,10 +165,13 @@
       return effects;
     }
     MarkLost(state, effects);
+    const bool isSeed = state.isSeed;
     state = MemberState();
+    state.isSeed = isSeed;
   }
   if (state.learnedAs == 0 || state.member.zone != aHeartbeat.from.zone) {
     state.learnedAs = ++learnedCount_;
+    learnedAt_ = now_;
   }
   state.member = aHeartbeat.from;
   if (state.heard && !state.disconnected &&
@@ -178,6 +183,12 @@
   state.heardAt = now_;
   state.receivedSequence = aHeartbeat.sequence;
   state.lastHeartbeat = aHeartbeat;
+  if (!state.alive && state.wantsReply &&
+      now_ - state.lastSentAt >= parameters_.heartbeatInterval) {
+    // It is alive once each side has echoed a heartbeat of the other. At the
+    // slow interval this would take seconds after a partition.
+    state.lastSentAt = TimePoint();
+  }
   const auto echoed = state.pendingEchoes.find(aHeartbeat.echo);
   if (echoed != state.pendingEchoes.end()) {
     state.echoedSentAt = echoed->second;
@@ -362,12 +373,29 @@
   return std::none_of(
     members_.begin(), members_.end(), [this](const auto& aPair) {
       const MemberState& state = aPair.second;
-      return IsPeer(state) && IsAlive(state) && state.lastHeartbeat.canLead &&
-             !state.lastHeartbeat.leaving &&
+      const bool mayBeGone =
+        state.echoedSentAt <= leaderlessSince_ &&
+        now_ - leaderlessSince_ >= parameters_.successionProbeTime;
+      return IsPeer(state) && IsAlive(state) && !mayBeGone &&
+             state.lastHeartbeat.canLead && !state.lastHeartbeat.leaving &&
              RankOf(state.member) < RankOf(self_);
     });
 }
 
+bool LeaderElection::IsDiscoveringAt(TimePoint aTime) const
+{
+  const Duration sinceStart = aTime - startedAt_;
+  return sinceStart < parameters_.discoveryPeriod ||
+         (sinceStart < parameters_.maxDiscoveryPeriod &&
+          aTime - learnedAt_ < parameters_.discoveryQuietTime);
+}
+
+bool LeaderElection::IsDiscovering() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return IsDiscoveringAt(clock_());
+}
+
 bool LeaderElection::ShouldYieldToLarger() const
 {
   if (!sheddingSince_ || now_ - *sheddingSince_ < parameters_.overloadPeriod) {
@@ -481,11 +509,11 @@
   SetLeader("", aEffects);
   if (canLead_ && !leaving_ && now_ >= backoffUntil_ &&
       now_ - canLeadSince_ >= parameters_.candidacyDelay &&
-      now_ - startedAt_ >= parameters_.discoveryPeriod &&
-      now_ - leaderlessSince_ >= ElectionDelay() &&
+      !IsDiscoveringAt(now_) && now_ - leaderlessSince_ >= ElectionDelay() &&
       now_ - resumedAt_ >= parameters_.resumeDelay && IsPreferred()) {
     ledAsFragment_ = IsFragment();
     StartTerm(1, "no other leader is known", aEffects);
+    NotifyAllWithNextTick();
   }
 }
 
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint32_t kProtocolVersion = 4;
+constexpr std::uint32_t kProtocolVersion = 5;
 
 using MemberFields = std::
   tuple<std::string, std::string, std::string, double, std::uint64_t, double>;
@@ -28,6 +28,7 @@
                                    double,
                                    bool,
                                    bool,
+                                   bool,
                                    std::string,
                                    bool,
                                    std::vector<MemberFields>>;
@@ -95,6 +96,7 @@
            aHeartbeat.endpointsInUse.leftFrom,
            aHeartbeat.shedShare,
            aHeartbeat.canLead,
+           aHeartbeat.hasLeader,
            aHeartbeat.leaving,
            aHeartbeat.part,
            aHeartbeat.wantsReply,
@@ -130,6 +132,7 @@
            heartbeat.endpointsInUse.leftFrom,
            heartbeat.shedShare,
            heartbeat.canLead,
+           heartbeat.hasLeader,
            heartbeat.leaving,
            heartbeat.part,
            heartbeat.wantsReply,
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -167,7 +167,7 @@
   ++node.incarnation;
   node.member.name = "d" + std::to_string(aDaemon);
   node.member.address = node.member.name;
-  node.member.cores = 1;
+  node.member.cores = options_.cores[aDaemon % options_.cores.size()];
   node.member.zone = ZoneName(node.zone);
   node.member.linkMbps = options_.linkMbps;
   node.member.incarnation = node.incarnation;
@@ -182,7 +182,9 @@
                time_.Now().time_since_epoch())
         .count();
     });
-  for (std::size_t other = 0; other < daemons_.size(); ++other) {
+  const std::size_t known =
+    options_.seeds == 0 ? daemons_.size() : options_.seeds;
+  for (std::size_t other = 0; other < known; ++other) {
     Member member;
     member.address = "d" + std::to_string(other);
     node.coordinator->AddMember(member);
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -46,6 +46,9 @@
     bool readsEndpointList = false;
     //! Link of each daemon; a small one divides the endpoints by zone.
     double linkMbps = 1000;
+    std::vector<double> cores{ 1 }; //!< Assigned to the daemons in turn.
+    //! Daemons that all others know at their start; 0: all daemons.
+    std::size_t seeds = 0;
     //! A process that continues after a pause handles buffered input before its
     //! overdue timers, as Boost.Asio does.
     bool handlesInputFirst = false;
@@ -127,6 +130,19 @@
 
   bool IsUp(std::size_t aDaemon) const { return daemons_[aDaemon].up; }
   std::size_t LeaderCount() const;
+  //! Name of the leader that the daemon follows; empty: none.
+  std::string LeaderSeenBy(std::size_t aDaemon) const
+  {
+    return daemons_[aDaemon].coordinator->Leader();
+  }
+  std::string NameOf(std::size_t aDaemon) const
+  {
+    return daemons_[aDaemon].member.name;
+  }
+  std::size_t ZoneOf(std::size_t aDaemon) const
+  {
+    return daemons_[aDaemon].zone;
+  }
   const std::map<std::string, ClusterAnswer>& Answers() const
   {
     return answers_;
