--- a/src/scheduler/EndpointEntry.cpp
+++ b/src/scheduler/EndpointEntry.cpp
@@ -27,6 +27,9 @@
   if (!isTakenOver) {
     return "not taken over";
   }
+  if (IsDescribedWrongly()) {
+    return "another incarnation is listed";
+  }
   if (!isResponding || aNow - SilentSince(aNow) > aResponseTimeout) {
     return "silent";
   }
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -7,6 +7,7 @@
 #include "hemlockhaven/scheduler/ListedEndpoint.h"
 #include "hemlockhaven/scheduler/Reports.h"
 #include "hemlockhaven/scheduler/RunTimeModel.h"
+#include "scheduler/UnansweredStarts.h"
 #include "scheduler/WorkEntry.h"
 
 #include <cstdint>
@@ -48,6 +49,14 @@
 
   bool HasLabel(std::string_view aLabel) const;
 
+  //! Whether its record and its last reply name different incarnations: what
+  //! the record says of labels, capacity and rack may not hold.
+  bool IsDescribedWrongly() const
+  {
+    return incarnationStartMs != 0 && listed.incarnationStartMs != 0 &&
+           incarnationStartMs != listed.incarnationStartMs;
+  }
+
   //! Since when the endpoint owes a reply; its last reply if it owes none.
   TimePoint SilentSince(TimePoint aNow) const;
 
@@ -69,6 +78,7 @@
   EndpointHealth health;
 
   std::int64_t incarnationStartMs = 0; //!< Incarnation that replied last.
+  UnansweredStarts unansweredStarts;
   std::uint64_t ackPosition = 0;
   bool isTakenOver = false; //!< It replied to a poll in this term.
   bool isPollInFlight = false;
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -137,10 +137,17 @@
   }
   WorkEntry* entry = nullptr;
   TaskEntry* task = FindRun(aCommand.run, entry);
-  if (task == nullptr || task->endpoint != aCommand.target.endpoint) {
+  const bool isKnown =
+    task != nullptr && task->endpoint == aCommand.target.endpoint;
+  const bool isStopping = isKnown && task->phase == TaskPhase::Stopping;
+  if (aReply.outcome == CommandOutcome::Unknown) {
+    // An earlier stop may have reached an earlier incarnation only.
+    const bool isStoppedNow = isKnown && !isStopping && !isOldTerm;
+    endpoint->unansweredStarts.Add(aCommand.run, !isStoppedNow, now_);
+  }
+  if (!isKnown) {
     return;
   }
-  const bool isStopping = task->phase == TaskPhase::Stopping;
   std::string_view endReason;
   switch (aReply.outcome) {
     case CommandOutcome::Accepted:
@@ -210,6 +217,9 @@
   if (endpoint == nullptr || aCommand.target.fencingToken != token_) {
     return;
   }
+  if (aReply.outcome == CommandOutcome::Accepted) {
+    endpoint->unansweredStarts.OnStopConfirmed(aCommand.run);
+  }
   WorkEntry* entry = nullptr;
   TaskEntry* task = FindRun(aCommand.run, entry);
   if (task != nullptr && task->endpoint == aCommand.target.endpoint &&
@@ -234,6 +244,8 @@
     if (endpoint->incarnationStartMs != 0) {
       LogDecision(aEffects, "endpoint", "", endpoint, "restarted");
     }
+    endpoint->unansweredStarts.OnRestart();
+    StopUnansweredStarts(*endpoint, aEffects);
     endpoint->incarnationStartMs = aReport.incarnationStartMs;
     endpoint->lease.Reset();
     endpoint->ackPosition = 0;
@@ -275,6 +287,20 @@
   Dispatch(aEffects);
 }
 
+void SchedulerState::StopUnansweredStarts(EndpointEntry& aEndpoint,
+                                          SchedulerEffects& aEffects) const
+{
+  for (RunKey& run : aEndpoint.unansweredStarts.TakeDueStops(now_)) {
+    LogDecision(aEffects,
+                "run",
+                run.task.workId,
+                &aEndpoint,
+                "stopped",
+                "its start was not answered before the restart");
+    aEffects.stops.push_back({ TargetOf(aEndpoint), std::move(run) });
+  }
+}
+
 Duration SchedulerState::IdlePollDelay() const
 {
   return std::min(policy_.maxIdlePollDelay,
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -151,6 +151,9 @@
     endpoint.free += capacityChange;
     endpoint.listed = listed;
     endpoint.isListed = true;
+    if (endpoint.IsDescribedWrongly()) {
+      endpoint.nextPollAt = now_; // The next reply may name this incarnation.
+    }
   }
   for (auto& [id, endpoint] : endpoints_) {
     if (endpoint.isListed && listedIds.count(id) == 0) {
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -157,6 +157,10 @@
   void RecordEndpointFailure(EndpointEntry& aEndpoint,
                              SchedulerEffects& aEffects);
 
+  //! Stops starts of earlier incarnations that may still arrive.
+  void StopUnansweredStarts(EndpointEntry& aEndpoint,
+                            SchedulerEffects& aEffects) const;
+
   // SchedulerTicks.cpp
   void TickEndpoint(EndpointEntry& aEndpoint, SchedulerEffects& aEffects);
   void TickRun(WorkEntry& aEntry, TaskEntry& aTask, SchedulerEffects& aEffects);
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -24,6 +24,7 @@
   if (!aEndpoint.isPollInFlight && now_ >= aEndpoint.nextPollAt) {
     SendPoll(aEndpoint, Duration(0), aEffects);
   }
+  StopUnansweredStarts(aEndpoint, aEffects);
   if (aEndpoint.health.ReturnIfDue(now_)) {
     LogDecision(aEffects, "endpoint", "", &aEndpoint, "on probation");
   }
--- a/tests/support/ManualScheduler.cpp
+++ b/tests/support/ManualScheduler.cpp
@@ -30,11 +30,13 @@
 
 void ManualScheduler::ListEndpoints(std::size_t aCount)
 {
+  listedCount_ = aCount;
   std::vector<ListedEndpoint> listed(aCount);
   for (std::size_t i = 0; i < aCount; ++i) {
     listed[i].id = listed[i].address = EndpointName(i);
     listed[i].zone = i % 2 == 0 ? "a" : "b";
     listed[i].capacity = { 1000, 1000, 0 };
+    listed[i].incarnationStartMs = listedIncarnations_[listed[i].id];
   }
   Apply(scheduler_.SetEndpoints(listed));
 }
@@ -44,6 +46,32 @@
   Apply(scheduler_.StartTerm(aToken));
 }
 
+void ManualScheduler::RestartEndpoint(std::size_t aEndpoint,
+                                      std::int64_t aIncarnation)
+{
+  const std::string name = EndpointName(aEndpoint);
+  running_[name].clear();
+  ended_[name].clear();
+  incarnations_[name] = aIncarnation;
+}
+
+void ManualScheduler::SetListedIncarnation(std::size_t aEndpoint,
+                                           std::int64_t aIncarnation)
+{
+  listedIncarnations_[EndpointName(aEndpoint)] = aIncarnation;
+  ListEndpoints(listedCount_);
+}
+
+void ManualScheduler::SetStartsUnanswered(std::size_t aEndpoint,
+                                          bool aUnanswered)
+{
+  if (aUnanswered) {
+    startsUnanswered_.insert(EndpointName(aEndpoint));
+  } else {
+    startsUnanswered_.erase(EndpointName(aEndpoint));
+  }
+}
+
 void ManualScheduler::SetEvacuatedZones(const std::vector<std::string>& aZones)
 {
   Apply(scheduler_.SetEvacuatedZones(aZones));
@@ -125,7 +153,9 @@
     return;
   }
   PollReport report;
-  report.incarnationStartMs = 1;
+  const auto incarnation = incarnations_.find(name);
+  report.incarnationStartMs =
+    incarnation == incarnations_.end() ? 1 : incarnation->second;
   report.clockMs = ClockMs();
   report.running = running_[name];
   report.ended = ended_[name];
@@ -136,10 +166,15 @@
 {
   for (const StopCommand& stop : aEffects.stops) {
     stops.push_back(stop.run.task.workId);
+    stopEndpoints.push_back(stop.target.endpoint);
   }
   for (const StartCommand& start : aEffects.starts) {
     starts.push_back(start.run.task.workId);
     startEndpoints.push_back(start.target.endpoint);
+    if (startsUnanswered_.count(start.target.endpoint) > 0) {
+      Apply(scheduler_.OnStartReply(start, CommandReply()));
+      continue;
+    }
     running_[start.target.endpoint].push_back(start.run);
     Apply(
       scheduler_.OnStartReply(start, { CommandOutcome::Accepted, ClockMs() }));
--- a/tests/support/ManualScheduler.h
+++ b/tests/support/ManualScheduler.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,12 @@
   //! Lists the first aCount endpoints.
   void ListEndpoints(std::size_t aCount);
   void StartTerm(std::uint64_t aToken);
+  //! The endpoint ends everything; its next reply names this incarnation.
+  void RestartEndpoint(std::size_t aEndpoint, std::int64_t aIncarnation);
+  //! Sets the incarnation that the endpoint's record names; 0: none.
+  void SetListedIncarnation(std::size_t aEndpoint, std::int64_t aIncarnation);
+  //! Starts to the endpoint get no answer from now on.
+  void SetStartsUnanswered(std::size_t aEndpoint, bool aUnanswered);
   void SetEvacuatedZones(const std::vector<std::string>& aZones);
   void AdvanceTime(std::int64_t aMilliseconds);
   void Tick();
@@ -48,6 +55,7 @@
   std::vector<std::string> startEndpoints; //!< Where, in the same order.
   std::vector<std::string> refused;        //!< Reasons, in order.
   std::vector<std::string> stops;
+  std::vector<std::string> stopEndpoints; //!< Where, in the same order.
   //! "ENTRY-VM ID", for each answer with the outcome Cancelled.
   std::vector<std::string> cancelled;
   std::vector<PollCommand> polls; //!< All that were sent.
@@ -64,6 +72,10 @@
   std::map<std::string, PollCommand> pendingPolls_; //!< By endpoint.
   std::map<std::string, std::vector<RunKey>> running_;
   std::map<std::string, std::vector<EndedRun>> ended_;
+  std::map<std::string, std::int64_t> incarnations_; //!< 1 unless set.
+  std::map<std::string, std::int64_t> listedIncarnations_;
+  std::set<std::string> startsUnanswered_;
+  std::size_t listedCount_ = 0;
 };
 
 }
