Read the seeds of the settings file again

Cause: seeds were read at the start only.

LeaderElection::SetSeeds replaces AddMember; the tests that used it name the same addresses.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -75,7 +75,14 @@
   }
 
   // From other daemons.
-  void AddMember(const Member& aMember) { election_.AddMember(aMember); }
+  //! Replaces the addresses at which other daemons are looked for. Returns
+  //! whether there is a new one.
+  bool SetSeeds(Span<const std::string> aAddresses)
+  {
+    return election_.SetSeeds(aAddresses);
+  }
+  //! Returns whether any other daemon is alive.
+  bool HasAliveMembers() const { return election_.AliveMemberCount() > 0; }
   void OnHeartbeat(const Heartbeat& aHeartbeat);
   void OnLinkLost(std::string_view aMember);
   void OnWork(std::string_view aEntryVm, Work aWork);
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -116,8 +116,10 @@
                  Clock aClock,
                  WallClock aWallClock);
 
-  //! Adds an address that heartbeats are sent to, whether or not it answers.
-  void AddMember(const Member& aMember);
+  //! Sets the addresses ("IP:port") that heartbeats are sent to, whether or not
+  //! they answer. Earlier ones that have never been heard are forgotten.
+  //! Returns whether there is a new one.
+  bool SetSeeds(Span<const std::string> aAddresses);
 
   ElectionEffects OnHeartbeat(const Heartbeat& aHeartbeat);
 
@@ -177,7 +179,7 @@
   struct MemberState
   {
     Member member;
-    bool isSeed = false; //!< Its address came from AddMember.
+    bool isSeed = false; //!< Its address came from SetSeeds.
     bool heard = false;
     bool alive = false;
     bool disconnected = false; //!< Its link closed.
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <set>
 #include <utility>
 
 namespace hemlockhaven {
@@ -37,14 +39,27 @@
 {
 }
 
-void LeaderElection::AddMember(const Member& aMember)
+bool LeaderElection::SetSeeds(Span<const std::string> aAddresses)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
-  if (aMember.address != self_.address) {
-    MemberState& state = members_[aMember.address];
-    state.member.address = aMember.address;
-    state.isSeed = true;
+  const std::set<std::string> addresses(aAddresses.begin(), aAddresses.end());
+  for (auto entry = members_.begin(); entry != members_.end();) {
+    MemberState& state = entry->second;
+    const bool wasSeed = state.isSeed;
+    state.isSeed = addresses.count(entry->first) > 0;
+    const bool isStale = wasSeed && !state.isSeed && state.learnedAs == 0;
+    entry = isStale ? members_.erase(entry) : std::next(entry);
+  }
+  bool isAnyNew = false;
+  for (const std::string& address : addresses) {
+    if (address != self_.address) {
+      const auto [found, isNew] = members_.try_emplace(address);
+      found->second.member.address = address;
+      found->second.isSeed = true;
+      isAnyNew = isAnyNew || isNew;
+    }
   }
+  return isAnyNew;
 }
 
 Duration LeaderElection::MemberTimeout(const MemberState& aState) const
--- a/tests/coordinator/RecoveryTest.cpp
+++ b/tests/coordinator/RecoveryTest.cpp
@@ -162,3 +162,29 @@
     }
   }
 }
+
+TEST(Recovery, DaemonsWithStaleSeedsFindEachOtherOnceTheSeedsAreReplaced)
+{
+  // Each leads by itself meanwhile, and the last one to step down has to.
+  constexpr Duration kTimeToAgree{ 3000000 };
+  constexpr std::size_t kDaemons = 8;
+  Cluster cluster(OptionsFor(kDaemons, 1));
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    cluster.Kill(i);
+    cluster.SetStaleSeeds(i, true);
+  }
+  cluster.Time().RunFor(std::chrono::milliseconds(500));
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    cluster.Restart(i);
+  }
+  cluster.Time().RunFor(std::chrono::seconds(4));
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    cluster.SetStaleSeeds(i, false);
+  }
+  cluster.Time().RunFor(kTimeToAgree);
+  UNSIGNED_LONGS_EQUAL(1, cluster.LeaderCount());
+  const std::string leader = cluster.NameOf(*cluster.Leader());
+  for (std::size_t i = 0; i < kDaemons; ++i) {
+    STRCMP_EQUAL(leader.c_str(), cluster.LeaderSeenBy(i).c_str());
+  }
+}
--- a/tests/coordinator/UnseenRunsTest.cpp
+++ b/tests/coordinator/UnseenRunsTest.cpp
@@ -118,9 +118,7 @@
       [this] { return now_; },
       [] { return std::int64_t{ 1700000000000 }; });
     coordinator->SetCanLead(true, "");
-    Member other;
-    other.address = "next";
-    coordinator->AddMember(other);
+    coordinator->SetSeeds(std::vector<std::string>{ "next" });
   }
 
   void Advance(std::int64_t aMilliseconds)
--- a/tests/leadership/SilentLinkTest.cpp
+++ b/tests/leadership/SilentLinkTest.cpp
@@ -29,6 +29,10 @@
   explicit LinkedElections(std::size_t aCount)
     : alive_(aCount, true)
   {
+    std::vector<std::string> seeds;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      seeds.push_back(Name(i));
+    }
     for (std::size_t i = 0; i < aCount; ++i) {
       // Daemon 0 is preferred, then 1, and so on.
       Member self{ Name(i), Name(i), "a", double(aCount - i), 1 };
@@ -37,11 +41,7 @@
         ElectionParameters(),
         [this] { return now_; },
         [] { return std::int64_t{ 1700000000000 }; }));
-      for (std::size_t other = 0; other < aCount; ++other) {
-        Member member;
-        member.address = Name(other);
-        elections_[i]->AddMember(member);
-      }
+      elections_[i]->SetSeeds(seeds);
       elections_[i]->SetCanLead(true, "");
     }
   }
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -182,13 +182,7 @@
                time_.Now().time_since_epoch())
         .count();
     });
-  const std::size_t known =
-    options_.seeds == 0 ? daemons_.size() : options_.seeds;
-  for (std::size_t other = 0; other < known; ++other) {
-    Member member;
-    member.address = "d" + std::to_string(other);
-    node.coordinator->AddMember(member);
-  }
+  node.coordinator->SetSeeds(SeedsFor(aDaemon));
   node.coordinator->SetEvacuatedZones(evacuatedZones_);
   if (options_.readsEndpointList) {
     node.registry = std::make_unique<Platform::EndpointRegistry>(
@@ -207,6 +201,28 @@
   ScheduleTick(aDaemon, node.incarnation);
 }
 
+std::vector<std::string> Cluster::SeedsFor(std::size_t aDaemon) const
+{
+  if (daemons_[aDaemon].hasStaleSeeds) {
+    return { "replaced" };
+  }
+  const std::size_t known =
+    options_.seeds == 0 ? daemons_.size() : options_.seeds;
+  std::vector<std::string> seeds;
+  for (std::size_t other = 0; other < known; ++other) {
+    seeds.push_back("d" + std::to_string(other));
+  }
+  return seeds;
+}
+
+void Cluster::SetStaleSeeds(std::size_t aDaemon, bool aStale)
+{
+  daemons_[aDaemon].hasStaleSeeds = aStale;
+  if (daemons_[aDaemon].up) {
+    daemons_[aDaemon].coordinator->SetSeeds(SeedsFor(aDaemon));
+  }
+}
+
 void Cluster::PollEndpointList(std::size_t aDaemon)
 {
   DaemonState& node = daemons_[aDaemon];
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -76,6 +76,9 @@
   void Disconnect(const std::string& aWorkId);
   std::vector<std::string> UnansweredWorks() const;
 
+  //! The daemon's seeds are addresses where nobody answers any more, or those
+  //! of the options again.
+  void SetStaleSeeds(std::size_t aDaemon, bool aStale);
   void Kill(std::size_t aDaemon);
   void Restart(std::size_t aDaemon);
   void Pause(std::size_t aDaemon, Duration aFor);
@@ -168,6 +171,7 @@
     Member member;
     std::size_t zone = 0;
     bool up = false;
+    bool hasStaleSeeds = false;
     std::uint64_t incarnation = 0;
     TimePoint pausedUntil{};
     TimePoint sendsPausedUntil{};
@@ -183,6 +187,7 @@
   };
 
   void StartDaemon(std::size_t aDaemon);
+  std::vector<std::string> SeedsFor(std::size_t aDaemon) const;
   CoordinatorHooks MakeHooks(std::size_t aDaemon);
   enum class EventKind
   {
