Let simulated endpoints register their new incarnation after a restart

Cause: the stand-ins listed incarnation 1 for good, while replies named the next one after a restart, which the platform's endpoints never do: each registers itself with its start time. The model of a task's runs lists a restarted endpoint 0.5 s later, as a leader reads it.

--- a/standins/platform/FakeEndpoint.cpp
+++ b/standins/platform/FakeEndpoint.cpp
@@ -41,6 +41,7 @@
   listed.address = id_;
   listed.service = aService;
   listed.capacity = capacity_;
+  listed.incarnationStartMs = bornMs_;
   return listed;
 }
 
--- a/tests/scheduler/TaskRunModelTest.cpp
+++ b/tests/scheduler/TaskRunModelTest.cpp
@@ -51,6 +51,8 @@
 //! A caller without an answer sends the work again after this.
 constexpr Duration kResubmitDelay = Ms(1300);
 constexpr Duration kRetakeDelay = Ms(40);
+//! A leader reads the endpoint list at this interval.
+constexpr Duration kListDelay = Ms(500);
 constexpr Duration kRunTime = Ms(2000);
 constexpr std::int64_t kMostLateMs = 12000;
 constexpr int kMostEvents = 200; //!< Of one sequence.
@@ -88,10 +90,7 @@
                 std::to_string(aEvent.run));
         });
     }
-    std::vector<ListedEndpoint> listed;
-    for (const auto& endpoint : endpoints_) {
-      listed.push_back(endpoint->Listed("service"));
-    }
+    const std::vector<ListedEndpoint> listed = ListEndpoints();
     for (std::size_t node = 0; node < kNodes; ++node) {
       nodes_[node].scheduler =
         std::make_unique<Scheduler>(SchedulerPolicy(), time_.AsClock());
@@ -167,6 +166,12 @@
   {
     Trace("endpoint restarts");
     endpoints_[aEndpoint]->Crash();
+    // It registers its new incarnation; otherwise nothing would start there.
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      RunAt(node, kListDelay, false, [this, node] {
+        Apply(node, nodes_[node].scheduler->SetEndpoints(ListEndpoints()));
+      });
+    }
   }
   void Pause(std::size_t aNode, Duration aFor)
   {
@@ -219,6 +224,14 @@
     Duration lateness{ 0 };
   };
 
+  std::vector<ListedEndpoint> ListEndpoints() const
+  {
+    std::vector<ListedEndpoint> listed;
+    for (const auto& endpoint : endpoints_) {
+      listed.push_back(endpoint->Listed("service"));
+    }
+    return listed;
+  }
   void Accept(std::size_t aEntryVm)
   {
     EntryVm& vm = entryVms_[aEntryVm];
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -625,6 +625,22 @@
   }
 }
 
+void Cluster::CrashEndpoint(std::size_t aEndpoint)
+{
+  endpoints_[aEndpoint]->Crash();
+  if (endpointStore_.IsListed(Listed(aEndpoint).id)) {
+    PutListEntry(aEndpoint);
+  }
+  for (ListedEndpoint& listed : listed_) {
+    if (listed.id == Listed(aEndpoint).id) {
+      listed = Listed(aEndpoint);
+    }
+  }
+  if (!options_.readsEndpointList) {
+    SendEndpointList();
+  }
+}
+
 void Cluster::SetUnresponsive(std::size_t aEndpoint, bool aSilent)
 {
   if (aSilent) {
@@ -649,9 +665,14 @@
       listed_.push_back(Listed(i));
     }
   }
-  for (std::size_t i = 0; i < daemons_.size(); ++i) {
-    if (daemons_[i].up) {
-      daemons_[i].coordinator->SetEndpoints(listed_);
+  SendEndpointList();
+}
+
+void Cluster::SendEndpointList()
+{
+  for (const DaemonState& daemon : daemons_) {
+    if (daemon.up) {
+      daemon.coordinator->SetEndpoints(listed_);
     }
   }
 }
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -100,7 +100,9 @@
   {
     daemons_[aDaemon].storeUnreachable = aUnreachable;
   }
-  void CrashEndpoint(std::size_t aEndpoint) { endpoints_[aEndpoint]->Crash(); }
+  //! The endpoint restarts at once and registers its new incarnation, unless
+  //! its record has expired.
+  void CrashEndpoint(std::size_t aEndpoint);
   FakeEndpoint& Endpoint(std::size_t aEndpoint)
   {
     return *endpoints_[aEndpoint];
@@ -188,6 +190,7 @@
 
   void StartDaemon(std::size_t aDaemon);
   std::vector<std::string> SeedsFor(std::size_t aDaemon) const;
+  void SendEndpointList();
   CoordinatorHooks MakeHooks(std::size_t aDaemon);
   enum class EventKind
   {
--- a/tests/support/FakeEndpointStore.cpp
+++ b/tests/support/FakeEndpointStore.cpp
@@ -17,7 +17,7 @@
         { "mem_mb", aEndpoint.capacity.memoryMb },
         { "gpus", aEndpoint.capacity.accelerators } } },
     { "labels", aEndpoint.labels },
-    { "born", 1 },
+    { "born", aEndpoint.incarnationStartMs },
   };
   latest_[aEndpoint.id] = record.dump();
   records_.push_back({ aEndpoint.id, latest_[aEndpoint.id] });
--- a/tests/support/FakeEndpointStore.h
+++ b/tests/support/FakeEndpointStore.h
@@ -22,6 +22,7 @@
   void Put(const ListedEndpoint& aEndpoint);
   //! Expires the endpoint's record.
   void Remove(std::string_view aId);
+  bool IsListed(const std::string& aId) const { return latest_.count(aId) > 0; }
 
   struct ReadResult
   {
