Keep learned speeds and run times from drifting together

Nothing anchored the common scale.

The speeds are rescaled to a geometric mean of 1 when it has drifted by more than a factor of 1.25.

--- a/include/hemlockhaven/scheduler/RunTimeModel.h
+++ b/include/hemlockhaven/scheduler/RunTimeModel.h
@@ -28,6 +28,9 @@
   //! estimated at aEstimate.
   void Learn(std::string_view aKind, Duration aEstimate, Duration aRunTime);
 
+  //! Divides all learned run times by the factor.
+  void Rescale(double aFactor);
+
 private:
   struct Kind
   {
@@ -55,6 +58,9 @@
   //! speed 1.
   void Learn(Duration aRunTime, Duration aMeasured);
 
+  //! Divides the learned speed by the factor.
+  void Rescale(double aFactor);
+
   std::uint64_t Samples() const { return sampleCount_; }
 
 private:
--- a/src/scheduler/RunTimeModel.cpp
+++ b/src/scheduler/RunTimeModel.cpp
@@ -51,11 +51,25 @@
   }
 }
 
+void RunTimeModel::Rescale(double aFactor)
+{
+  const double change = std::log(aFactor);
+  for (auto& [name, kind] : kinds_) {
+    kind.meanLogRunTime -= change;
+    kind.meanLogRatio -= change;
+  }
+}
+
 double EndpointSpeed::Value() const
 {
   return std::exp(logSpeed_);
 }
 
+void EndpointSpeed::Rescale(double aFactor)
+{
+  logSpeed_ -= std::log(aFactor);
+}
+
 void EndpointSpeed::Learn(Duration aRunTime, Duration aMeasured)
 {
   ++sampleCount_;
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -218,6 +218,10 @@
                    std::string_view aOutcome,
                    std::string_view aDetail = {}) const;
   double FleetFailureRate() const;
+  //! Keeps the geometric mean of the endpoints' speeds near 1. Runs only show
+  //! the quotient of run time and speed, so that both could drift together, and
+  //! with them the objective, which is a multiple of the run time at speed 1.
+  void NormalizeSpeeds();
   //! Whether this daemon knows all of these endpoints.
   bool KnowsEndpoints(const EndpointsInUse& aEndpoints) const;
   //! Whether an endpoint that has not replied may run tasks of the work.
@@ -261,6 +265,7 @@
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
+  TimePoint speedsNormalizedAt_{};
   // The last refusal for lack of resources.
   TimePoint lastRefusalAt_{};
   Duration lastRefusalSlack_{ 0 };
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -2,6 +2,7 @@
 #include "scheduler/SchedulerState.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hemlockhaven::Detail {
 
@@ -12,6 +13,12 @@
 //! An endpoint may need this long to end its runs after their lease has
 //! expired, as it may for a stop.
 constexpr Duration kRunEndTime{ 50000 };
+constexpr Duration kSpeedNormalizationInterval{ 1000000 };
+//! Within this factor a drift changes the objective less than the error of a
+//! single prediction does.
+constexpr double kMaxSpeedDrift = 1.25;
+//! Half of a speed is learned after this many runs.
+constexpr std::uint64_t kMinSpeedSamples = 4;
 //! Completions of unknown work are kept this long, for entry VMs to resubmit
 //! it.
 constexpr Duration kEarlyCompletionRetention{ 3000000 };
@@ -183,6 +190,35 @@
   }
 }
 
+void SchedulerState::NormalizeSpeeds()
+{
+  if (now_ - speedsNormalizedAt_ < kSpeedNormalizationInterval) {
+    return;
+  }
+  speedsNormalizedAt_ = now_;
+  double sumOfLogs = 0;
+  std::size_t count = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.speed.Samples() >= kMinSpeedSamples) {
+      sumOfLogs += std::log(endpoint.speed.Value());
+      ++count;
+    }
+  }
+  if (count == 0) {
+    return;
+  }
+  const double mean = std::exp(sumOfLogs / static_cast<double>(count));
+  if (mean > 1 / kMaxSpeedDrift && mean < kMaxSpeedDrift) {
+    return;
+  }
+  runTimes_.Rescale(mean);
+  for (auto& [id, endpoint] : endpoints_) {
+    if (endpoint.speed.Samples() >= kMinSpeedSamples) {
+      endpoint.speed.Rescale(mean);
+    }
+  }
+}
+
 void SchedulerState::Tick(SchedulerEffects& aEffects)
 {
   const bool wasOutdated = IsViewOutdated();
@@ -200,6 +236,7 @@
       " queued=" + std::to_string(queue_.size());
   }
   RequestNewTerm(aEffects);
+  NormalizeSpeeds();
   std::vector<std::string> ids;
   for (auto& [id, endpoint] : endpoints_) {
     TickEndpoint(endpoint, aEffects);
