Replay load with racks in virtual time

Endpoints of the simulated cluster can share racks, and a hook makes run times depend on the endpoint.

--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -57,7 +57,13 @@
       "e" + std::to_string(i),
       aOptions.capacity,
       aOptions.speeds[i % aOptions.speeds.size()],
-      [this](const TaskKey& aTask) { return work(aTask); },
+      [this, i](const TaskKey& aTask) {
+        const Duration time = work(aTask);
+        return slowdown ? Duration(static_cast<std::int64_t>(
+                            static_cast<double>(time.count()) *
+                            slowdown(aTask, i)))
+                        : time;
+      },
       [this, i](const RunEvent& aEvent) {
         const std::string name = TaskName(aEvent.task);
         const bool began = !aEvent.outcome;
@@ -173,7 +179,7 @@
   node.member.incarnation = node.incarnation;
   node.coordinator = std::make_unique<Coordinator>(
     node.member,
-    SchedulerPolicy(),
+    options_.policy,
     ElectionParameters(),
     MakeHooks(aDaemon),
     time_.AsClock(),
@@ -622,9 +628,17 @@
 {
   ListedEndpoint endpoint = endpoints_[aEndpoint]->Listed(kService);
   endpoint.zone = ZoneName(aEndpoint % options_.zones);
+  endpoint.rack = RackOf(aEndpoint);
   return endpoint;
 }
 
+std::string Cluster::RackOf(std::size_t aEndpoint) const
+{
+  return options_.endpointsPerRack == 0
+           ? std::string()
+           : "r" + std::to_string(aEndpoint / options_.endpointsPerRack);
+}
+
 void Cluster::ListEndpoints(const std::set<std::size_t>& aWithout)
 {
   listed_.clear();
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -57,6 +57,9 @@
     //! How late the endpoints' timers are at most, so that runs end after their
     //! lease.
     Duration endpointTimerDelay{ 0 };
+    //! Endpoints with consecutive numbers share a rack; 0: no racks.
+    std::size_t endpointsPerRack = 0;
+    SchedulerPolicy policy;
   };
 
   explicit Cluster(const Options& aOptions);
@@ -160,6 +163,11 @@
 
   //! Run time of a task at speed 1; see FakeEndpoint.
   FakeEndpoint::WorkHook work = [](const TaskKey&) { return Duration(100000); };
+  //! Factor on the run time of a task at the endpoint, for example because its
+  //! data is in another rack.
+  std::function<double(const TaskKey&, std::size_t)> slowdown;
+  //! The rack of an endpoint; empty without racks.
+  std::string RackOf(std::size_t aEndpoint) const;
 
 private:
   struct DaemonState
