Wait for a near endpoint while that pays

Cause: a task with a preferred rack was placed like any other, on the slowest endpoint in time, so away even beside free near endpoints; the factor was a constant 2, and same_rack was not decoded. Admission did not know racks.

NearWait decides between a start near, a start away and a wait; RemoteFactor learns the factor from runs; RackOccupancy holds what is expected of a rack during one dispatch; the forecast has all endpoints and tasks of the work's rack. Refusals of work for one rack are not reused for other racks.

--- a/include/hemlockhaven/scheduler/Placement.h
+++ b/include/hemlockhaven/scheduler/Placement.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string_view>
 
 namespace hemlockhaven {
 
@@ -18,6 +19,9 @@
   double speed = 1;
   double slowdown = 1; //!< Run time factor for this task, for example data
                        //!< in another rack.
+  //! Other tasks wait for an endpoint of its rack, which is therefore used
+  //! last.
+  bool isRackWanted = false;
 };
 
 //! Margin while work is queued: about one run in six takes longer than its
@@ -40,6 +44,9 @@
   //! Speed of the fastest endpoint, busy or not, that can run the task; 0: do
   //! not wait for it.
   double fastestSpeed = 0;
+  // Used by Forecast.
+  std::string_view preferredRack; //!< Empty: any rack.
+  double remoteFactor = 1;        //!< Run time factor in other racks.
 };
 
 //! Predicted end of the task on the candidate, without margin.
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -35,6 +35,13 @@
   std::size_t usableEndpoints = 0;
   std::size_t evacuatedEndpoints = 0; //!< In evacuated availability zones.
   std::int64_t freeCpuMillis = 0;
+  // Tasks that prefer a rack; totals since the process started.
+  std::size_t nearWaitingTasks = 0; //!< Waiting for a near endpoint now.
+  std::uint64_t placedNear = 0;
+  std::uint64_t placedAway = 0;
+  std::uint64_t nearWaits = 0; //!< Waits for a near endpoint that ended.
+  Duration nearWaitTime{ 0 };  //!< Sum of these waits.
+  double remoteFactor = 0;     //!< As learned; see SchedulerPolicy.
 };
 
 //! Places the tasks of one service on its endpoints. Performs no I/O and no
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -69,6 +69,9 @@
   Duration replyTime{ 8000 };
   //! How long finished work is kept, to answer repeated submissions.
   Duration finishedRetention{ 5000000 };
+  //! Run time of a task away from the rack of its data, or spread over racks,
+  //! relative to its run time there; the first value of what is learned.
+  double remoteFactor = 2;
   //! Shortest retry delay that a refused caller is told.
   Duration minRetryAfter{ 1000000 };
 };
--- a/include/hemlockhaven/scheduler/Work.h
+++ b/include/hemlockhaven/scheduler/Work.h
@@ -42,6 +42,8 @@
   std::string requiredLabel;        //!< Empty: any endpoint.
   std::string preferredRack;        //!< Empty: any rack.
   std::uint32_t maxPerEndpoint = 0; //!< 0: no limit.
+  //! The tasks run faster if all are in one rack.
+  bool sameRack = false;
 };
 
 //! A job whose caller waits for its result. Not persisted.
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -439,6 +439,12 @@
     sum.usableEndpoints += load.usableEndpoints;
     sum.evacuatedEndpoints += load.evacuatedEndpoints;
     sum.freeCpuMillis += load.freeCpuMillis;
+    sum.nearWaitingTasks += load.nearWaitingTasks;
+    sum.placedNear += load.placedNear;
+    sum.placedAway += load.placedAway;
+    sum.nearWaits += load.nearWaits;
+    sum.nearWaitTime += load.nearWaitTime;
+    sum.remoteFactor = std::max(sum.remoteFactor, load.remoteFactor);
   }
   return sum;
 }
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -40,7 +40,8 @@
                               std::vector<std::uint32_t>,
                               std::string,
                               std::string,
-                              std::uint32_t>;
+                              std::uint32_t,
+                              bool>;
 using WorkFields = std::tuple<std::string,
                               std::string,
                               std::string,
@@ -160,7 +161,8 @@
                        step.after,
                        step.requiredLabel,
                        step.preferredRack,
-                       step.maxPerEndpoint);
+                       step.maxPerEndpoint,
+                       step.sameRack);
   }
   return { aWork.id,
            aWork.service,
@@ -215,7 +217,8 @@
              step.after,
              step.requiredLabel,
              step.preferredRack,
-             step.maxPerEndpoint) = std::move(fields);
+             step.maxPerEndpoint,
+             step.sameRack) = std::move(fields);
     step.estimate = Duration(estimate);
     work.steps.push_back(std::move(step));
   }
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -86,6 +86,8 @@
   TimePoint pollSentAt{};
   TimePoint lastReplyAt{}; //!< Last reply of any kind.
   bool isResponding = false;
+  //! Tasks wait for an endpoint of its rack; of the last dispatch.
+  bool isRackWanted = false;
   TimePoint noStartsUntil{}; //!< After a refusal for lack of resources.
 };
 
--- a/src/scheduler/Placement.cpp
+++ b/src/scheduler/Placement.cpp
@@ -49,7 +49,8 @@
       continue;
     }
     const auto rank = [](const PlacementCandidate& aCandidate) {
-      return std::make_tuple(SpeedClass(aCandidate.speed / aCandidate.slowdown),
+      return std::make_tuple(aCandidate.isRackWanted,
+                             SpeedClass(aCandidate.speed / aCandidate.slowdown),
                              aCandidate.free.cpuMillis);
     };
     if (bestInTime == nullptr || rank(candidate) < rank(*bestInTime)) {
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -72,32 +72,49 @@
   return 1 + (endpoints_.size() - 1) / kMaxForecastEndpoints;
 }
 
-Forecast SchedulerState::MakeForecast(std::size_t aStride) const
+void SchedulerState::AddToForecast(Forecast& aForecast,
+                                   const EndpointEntry& aEndpoint,
+                                   bool aIsInSample) const
 {
-  Forecast forecast(now_);
+  std::vector<ResourceRelease> releases;
+  releases.reserve(aEndpoint.runs.size());
+  for (const auto& [entry, task] : aEndpoint.runs) {
+    // An overdue run is expected to continue for some time.
+    const auto overdueTime = Duration(static_cast<std::int64_t>(
+      static_cast<double>(task->predicted.count()) * kOverdueFactor));
+    const TimePoint end =
+      task->expectedEnd > now_ ? task->expectedEnd : now_ + overdueTime;
+    releases.push_back({ end, entry->StepOf(*task).taskResources });
+  }
+  aForecast.AddEndpoint(aEndpoint.free,
+                        aEndpoint.speed.Value(),
+                        releases,
+                        aEndpoint.listed.rack,
+                        aIsInSample);
+}
+
+Forecast SchedulerState::MakeForecast(std::size_t aStride,
+                                      std::string_view aRack) const
+{
+  Forecast forecast(now_, aStride, aRack);
   std::size_t number = 0;
   const bool takingOver = now_ - termStartedAt_ < policy_.takeoverTime;
   std::vector<ResourceRelease> releases;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (number++ % aStride != 0) {
+    const bool isInSample = number++ % aStride == 0;
+    // A sample of one rack would not be representative.
+    if (!isInSample && (aRack.empty() || endpoint.listed.rack != aRack)) {
       continue;
     }
     releases.clear();
     if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
-      for (const auto& [entry, task] : endpoint.runs) {
-        // An overdue run is expected to continue for some time.
-        const auto overdueTime = Duration(static_cast<std::int64_t>(
-          static_cast<double>(task->predicted.count()) * kOverdueFactor));
-        const TimePoint end =
-          task->expectedEnd > now_ ? task->expectedEnd : now_ + overdueTime;
-        releases.push_back({ end, entry->StepOf(*task).taskResources });
-      }
-      forecast.AddEndpoint(endpoint.free, endpoint.speed.Value(), releases);
+      AddToForecast(forecast, endpoint, isInSample);
     } else if (takingOver && endpoint.isListed && !endpoint.isEvacuated &&
                !endpoint.listed.draining) {
       releases.push_back(
         { now_ + kFirstPollReplyTime, endpoint.listed.capacity });
-      forecast.AddEndpoint({}, endpoint.speed.Value(), releases);
+      forecast.AddEndpoint(
+        {}, endpoint.speed.Value(), releases, endpoint.listed.rack, isInSample);
     }
   }
   return forecast;
@@ -111,7 +128,8 @@
   // Requires as much as the refused work, in no more time.
   const Duration slack = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
   return slack <= lastRefusalSlack_ &&
-         TotalCpuMillis(aEntry) >= lastRefusalCpuMillis_;
+         TotalCpuMillis(aEntry) >= lastRefusalCpuMillis_ &&
+         aEntry.FirstPreferredRack() == lastRefusalRack_;
 }
 
 std::int64_t SchedulerState::TotalCpuMillis(const WorkEntry& aEntry) const
@@ -128,6 +146,7 @@
   lastRefusalAt_ = now_;
   lastRefusalSlack_ = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
   lastRefusalCpuMillis_ = TotalCpuMillis(aEntry);
+  lastRefusalRack_ = aEntry.FirstPreferredRack();
 }
 
 std::optional<TimePoint> SchedulerState::PlaceWaitingTasks(
@@ -140,6 +159,7 @@
   TimePoint last = earliestStart;
   PlacementDemand demand;
   demand.latestEnd = aEntry.LatestEnd();
+  demand.remoteFactor = remoteFactor_.Value();
   std::size_t number = 0;
   for (const TaskEntry& task : aEntry.Tasks()) {
     if (task.phase != TaskPhase::Waiting) {
@@ -148,13 +168,22 @@
       }
       continue;
     }
-    if (number++ % aStride != 0) {
+    // A rack that is not known completely is taken for one of even load.
+    const std::string_view rack = aEntry.PreferredRack(task.step);
+    demand.preferredRack =
+      aForecast.IsExactFor(rack) ? rack : std::string_view();
+    if (demand.preferredRack.empty() && number++ % aStride != 0) {
       continue;
     }
     // Dependent steps start when all tasks placed so far have ended.
     demand.now = aEntry.StepOf(task).after.empty() ? earliestStart : last;
     demand.taskResources = aEntry.StepOf(task).taskResources;
     demand.predictedRunTime = PredictTask(aEntry, task.step);
+    if (aEntry.IsSpread(task.step)) {
+      demand.predictedRunTime = Duration(static_cast<std::int64_t>(
+        static_cast<double>(demand.predictedRunTime.count()) *
+        demand.remoteFactor));
+    }
     const auto end = aForecast.Place(demand);
     if (!end) {
       return std::nullopt;
@@ -168,7 +197,7 @@
   const WorkEntry& aEntry) const
 {
   const std::size_t stride = SampleStride();
-  Forecast forecast = MakeForecast(stride);
+  Forecast forecast = MakeForecast(stride, aEntry.FirstPreferredRack());
   std::size_t number = 0;
   TimePoint backlogEnd = now_;
   bool isChecked = false;
@@ -217,7 +246,10 @@
     if (!isChecked && aEntry.LatestEnd() < key.first && !checkOwnEnd()) {
       return verdict;
     }
-    if (number++ % stride == 0 && !placeQueued(*queued)) {
+    const bool isInSample = number++ % stride == 0;
+    const std::string_view rack = queued->FirstPreferredRack();
+    if ((isInSample || (!rack.empty() && forecast.IsExactFor(rack))) &&
+        !placeQueued(*queued)) {
       return verdict;
     }
   }
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -6,6 +6,24 @@
 
 namespace hemlockhaven::Detail {
 
+namespace {
+
+//! For the log.
+std::string_view Describe(TaskLocality aLocality)
+{
+  switch (aLocality) {
+    case TaskLocality::Near:
+      return "near";
+    case TaskLocality::Away:
+      return "away";
+    case TaskLocality::NoPreference:
+      break;
+  }
+  return "no preference";
+}
+
+}
+
 void SchedulerState::Enqueue(WorkEntry& aEntry)
 {
   queue_[{ aEntry.LatestEnd(), aEntry.Spec().id }] = &aEntry;
@@ -23,9 +41,17 @@
     return;
   }
   CollectUsableEndpoints();
+  racks_.emplace(
+    now_,
+    [this] { return Span<EndpointEntry* const>(usableEndpoints_); },
+    [this](Forecast& aForecast, const EndpointEntry& aEndpoint) {
+      AddToForecast(aForecast, aEndpoint, true);
+    });
+  wantedRacks_.clear();
   // In-time tasks first: late ones would make all tasks behind them late too.
   DispatchQueue(false, aEffects);
   DispatchQueue(true, aEffects);
+  racks_.reset();
 }
 
 void SchedulerState::CollectUsableEndpoints()
@@ -34,6 +60,8 @@
   fastestSpeed_ = 0;
   for (auto& [id, endpoint] : endpoints_) {
     if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
+      endpoint.isRackWanted =
+        !wantedRacks_.empty() && wantedRacks_.count(endpoint.listed.rack) > 0;
       usableEndpoints_.push_back(&endpoint);
       fastestSpeed_ = std::max(fastestSpeed_, endpoint.speed.Value());
     }
@@ -60,8 +88,9 @@
       }
       const bool started =
         work.StepOf(task).taskResources.cpuMillis <= maxFreeCpuMillis_ &&
-        work.IsStepReady(task.step) && IsLate(work, task) == aLate &&
-        DispatchTask(work, task, aEffects);
+        work.IsStepReady(task.step) &&
+        (IsLate(work, task) || (aLate && task.isLateNearAndAway)) == aLate &&
+        DispatchTask(work, task, aLate, aEffects);
       hasWaiting = hasWaiting || !started;
     }
     entry = hasWaiting ? std::next(entry) : queue_.erase(entry);
@@ -78,20 +107,28 @@
            aEntry.LatestEnd();
 }
 
-bool SchedulerState::DispatchTask(WorkEntry& aEntry,
-                                  TaskEntry& aTask,
-                                  SchedulerEffects& aEffects)
+PlacementDemand SchedulerState::DemandOf(const WorkEntry& aEntry,
+                                         const TaskEntry& aTask) const
 {
-  const WorkStep& step = aEntry.StepOf(aTask);
   PlacementDemand demand;
-  demand.taskResources = step.taskResources;
+  demand.taskResources = aEntry.StepOf(aTask).taskResources;
   demand.predictedRunTime = PredictTask(aEntry, aTask.step);
   demand.now = now_;
   demand.latestEnd = aEntry.LatestEnd();
   demand.fastestSpeed = fastestSpeed_;
   demand.margin = queue_.size() > 1 ? kBusyMargin : kIdleMargin;
-  std::vector<PlacementCandidate> candidates;
-  std::vector<EndpointEntry*> candidateEndpoints;
+  return demand;
+}
+
+void SchedulerState::CollectCandidates(const WorkEntry& aEntry,
+                                       const TaskEntry& aTask,
+                                       std::string_view aRack,
+                                       TaskCandidates& aNear,
+                                       TaskCandidates& aAway) const
+{
+  const WorkStep& step = aEntry.StepOf(aTask);
+  const double remoteFactor =
+    aRack.empty() && !aEntry.IsSpread(aTask.step) ? 1 : remoteFactor_.Value();
   const auto collect = [&](bool aAvoid) {
     for (EndpointEntry* usable : usableEndpoints_) {
       EndpointEntry& endpoint = *usable;
@@ -114,34 +151,71 @@
           continue;
         }
       }
+      const bool isNear = aRack.empty() || endpoint.listed.rack == aRack;
+      TaskCandidates& candidates = isNear ? aNear : aAway;
       PlacementCandidate candidate;
-      candidate.id = candidateEndpoints.size();
+      candidate.id = candidates.endpoints.size();
       candidate.free = endpoint.free;
       candidate.speed = endpoint.speed.Value();
-      if (!step.preferredRack.empty() &&
-          endpoint.listed.rack != step.preferredRack) {
-        // Run times away from the data are at least twice as long.
-        constexpr double kRemoteFactor = 2;
-        candidate.slowdown = kRemoteFactor;
-      }
-      candidates.push_back(candidate);
-      candidateEndpoints.push_back(&endpoint);
+      candidate.slowdown = isNear && !aRack.empty() ? 1 : remoteFactor;
+      candidate.isRackWanted = endpoint.isRackWanted;
+      candidates.list.push_back(candidate);
+      candidates.endpoints.push_back(&endpoint);
     }
   };
   collect(true);
-  if (candidates.empty() && !aTask.avoidedEndpoint.empty()) {
+  if (aNear.list.empty() && aAway.list.empty() &&
+      !aTask.avoidedEndpoint.empty()) {
     collect(false);
   }
-  const auto chosen = ChooseEndpoint(candidates, demand);
+}
+
+bool SchedulerState::DispatchTask(WorkEntry& aEntry,
+                                  TaskEntry& aTask,
+                                  bool aLate,
+                                  SchedulerEffects& aEffects)
+{
+  const WorkStep& step = aEntry.StepOf(aTask);
+  if (step.sameRack && step.preferredRack.empty() && step.count > 1) {
+    ChooseStepRack(aEntry, aTask);
+  }
+  const std::string_view rack = aEntry.PreferredRack(aTask.step);
+  if (!rack.empty()) {
+    return DispatchToRack(aEntry, aTask, rack, aLate, aEffects);
+  }
+  const PlacementDemand demand = DemandOf(aEntry, aTask);
+  TaskCandidates candidates;
+  CollectCandidates(aEntry, aTask, rack, candidates, candidates);
+  const auto chosen = ChooseEndpoint(candidates.list, demand);
   if (!chosen) {
     return false;
   }
-  aTask.predicted = demand.predictedRunTime;
-  aTask.expectedEnd = PredictEnd(demand, candidates[*chosen]);
-  Start(aEntry, aTask, *candidateEndpoints[*chosen], aEffects);
+  aTask.locality = aEntry.IsSpread(aTask.step) ? TaskLocality::Away
+                                               : TaskLocality::NoPreference;
+  StartOn(aEntry, aTask, demand, candidates, *chosen, aEffects);
   return true;
 }
 
+void SchedulerState::StartOn(WorkEntry& aEntry,
+                             TaskEntry& aTask,
+                             const PlacementDemand& aDemand,
+                             const TaskCandidates& aCandidates,
+                             std::size_t aChosen,
+                             SchedulerEffects& aEffects)
+{
+  const PlacementCandidate& candidate = aCandidates.list[aChosen];
+  aTask.slowdown = candidate.slowdown;
+  aTask.predicted = Duration(static_cast<std::int64_t>(
+    static_cast<double>(aDemand.predictedRunTime.count()) *
+    candidate.slowdown));
+  aTask.expectedEnd = PredictEnd(aDemand, candidate);
+  EndpointEntry& endpoint = *aCandidates.endpoints[aChosen];
+  if (racks_) {
+    racks_->OnStarted(endpoint, aDemand.taskResources, aTask.expectedEnd);
+  }
+  Start(aEntry, aTask, endpoint, aEffects);
+}
+
 void SchedulerState::Start(WorkEntry& aEntry,
                            TaskEntry& aTask,
                            EndpointEntry& aEndpoint,
@@ -168,7 +242,14 @@
   aTask.deadlineClockMs = deadline;
   aEntry.MarkStarted(now_);
 
-  LogDecision(aEffects, "place", aEntry.Spec().id, &aEndpoint, "sent");
+  placedNear_ += aTask.locality == TaskLocality::Near ? 1 : 0;
+  placedAway_ += aTask.locality == TaskLocality::Away ? 1 : 0;
+  LogDecision(aEffects,
+              "place",
+              aEntry.Spec().id,
+              &aEndpoint,
+              "sent",
+              Describe(aTask.locality));
   aEffects.decisions.back().inputs =
     "step=" + std::to_string(aTask.step) +
     " index=" + std::to_string(aTask.index) +
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -56,14 +56,7 @@
   ReleaseResources(aEntry, aTask);
   if (EndpointEntry* endpoint = FindEndpoint(aTask.endpoint)) {
     endpoint->health.Succeeded(1);
-    const Duration measured = now_ - aTask.confirmedAt;
-    if (aTask.predicted > Duration(0) && measured > Duration(0)) {
-      const auto unitSpeedTime = Duration(static_cast<std::int64_t>(
-        static_cast<double>(measured.count()) * endpoint->speed.Value()));
-      runTimes_.Learn(
-        aEntry.Spec().kind, aEntry.StepOf(aTask).estimate, unitSpeedTime);
-      endpoint->speed.Learn(aTask.predicted, measured);
-    }
+    LearnRunTime(aEntry, aTask, *endpoint);
   }
   aEntry.MarkDone(aTask);
   if (!aEntry.IsAnswered() && aEntry.IsDone()) {
@@ -503,6 +496,8 @@
   aTask.confirmedAt = now_;
   // Its start time is unknown: excluded from learning.
   aTask.predicted = Duration(0);
+  aTask.slowdown = 1;
+  aTask.locality = TaskLocality::NoPreference;
   aTask.expectedEnd = now_ + PredictTask(aEntry, aTask.step);
   aEndpoint.Occupy(aEntry, aTask);
   aEntry.MarkStarted(now_);
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -10,6 +10,7 @@
   : policy_(aPolicy)
   , clock_(std::move(aClock))
   , lastTickAt_(clock_())
+  , remoteFactor_(aPolicy.remoteFactor)
   , dice_(1)
 {
 }
@@ -306,6 +307,7 @@
   aEntry.MarkAnswered();
   Dequeue(aEntry);
   for (TaskEntry& task : aEntry.Tasks()) {
+    EndNearWait(aEntry, task, "work ended", aEffects);
     if (task.IsActive() && task.phase != TaskPhase::Stopping) {
       StopRun(aEntry, task, aEffects);
     }
@@ -385,8 +387,14 @@
     for (const TaskEntry& task : entry->Tasks()) {
       load.waitingTasks += task.phase == TaskPhase::Waiting ? 1 : 0;
       load.activeRuns += task.IsActive() ? 1 : 0;
+      load.nearWaitingTasks += task.nearWait.since ? 1 : 0;
     }
   }
+  load.placedNear = placedNear_;
+  load.placedAway = placedAway_;
+  load.nearWaits = nearWaits_;
+  load.nearWaitTime = nearWaitTime_;
+  load.remoteFactor = remoteFactor_.Value();
   load.endpoints = endpoints_.size();
   for (const auto& [id, endpoint] : endpoints_) {
     load.evacuatedEndpoints += endpoint.isEvacuated ? 1 : 0;
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -4,13 +4,16 @@
 #include "hemlockhaven/fleet/Dice.h"
 #include "hemlockhaven/scheduler/AdmissionMargin.h"
 #include "hemlockhaven/scheduler/Forecast.h"
+#include "hemlockhaven/scheduler/RemoteFactor.h"
 #include "hemlockhaven/scheduler/Scheduler.h"
 #include "scheduler/EndpointEntry.h"
+#include "scheduler/RackOccupancy.h"
 #include "scheduler/WorkEntry.h"
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -80,7 +83,12 @@
   AdmissionResult EvaluateAdmission(const WorkEntry& aEntry) const;
   //! A forecast includes every n-th endpoint.
   std::size_t SampleStride() const;
-  Forecast MakeForecast(std::size_t aStride) const;
+  //! Includes all endpoints of this rack, unless it is empty.
+  Forecast MakeForecast(std::size_t aStride, std::string_view aRack) const;
+  //! Adds a usable endpoint and its active runs.
+  void AddToForecast(Forecast& aForecast,
+                     const EndpointEntry& aEndpoint,
+                     bool aIsInSample) const;
   //! Whether work that needed no more resources and had at least as much time
   //! was refused just before.
   bool ResemblesLastRefusal(const WorkEntry& aEntry) const;
@@ -112,7 +120,58 @@
   void UpdateMaxFreeCpu();
   bool DispatchTask(WorkEntry& aEntry,
                     TaskEntry& aTask,
+                    bool aLate,
                     SchedulerEffects& aEffects);
+  struct TaskCandidates
+  {
+    std::vector<PlacementCandidate> list;
+    std::vector<EndpointEntry*> endpoints; //!< By PlacementCandidate::id.
+  };
+  PlacementDemand DemandOf(const WorkEntry& aEntry,
+                           const TaskEntry& aTask) const;
+  //! Collects the usable endpoints that can run the task now: those of the rack
+  //! and, with a slowdown, the others; all endpoints are near an empty rack.
+  void CollectCandidates(const WorkEntry& aEntry,
+                         const TaskEntry& aTask,
+                         std::string_view aRack,
+                         TaskCandidates& aNear,
+                         TaskCandidates& aAway) const;
+  //! Starts the task on the chosen candidate.
+  void StartOn(WorkEntry& aEntry,
+               TaskEntry& aTask,
+               const PlacementDemand& aDemand,
+               const TaskCandidates& aCandidates,
+               std::size_t aChosen,
+               SchedulerEffects& aEffects);
+
+  // SchedulerNearWait.cpp
+  //! Starts a task that prefers the rack, or lets it wait for the rack.
+  bool DispatchToRack(WorkEntry& aEntry,
+                      TaskEntry& aTask,
+                      std::string_view aRack,
+                      bool aLate,
+                      SchedulerEffects& aEffects);
+  //! Chooses a rack for a step whose tasks run faster in one rack, unless the
+  //! step ends earlier if it is spread now.
+  void ChooseStepRack(WorkEntry& aEntry, const TaskEntry& aTask);
+  //! The run of the waiting tasks of a step if they all start now, anywhere.
+  std::optional<ExpectedRun> SpreadRun(const WorkEntry& aEntry,
+                                       const TaskEntry& aTask,
+                                       const PlacementDemand& aDemand,
+                                       std::size_t aCount) const;
+  void BeginNearWait(const WorkEntry& aEntry,
+                     TaskEntry& aTask,
+                     const NearWaitInputs& aInputs,
+                     TimePoint aUntil,
+                     SchedulerEffects& aEffects) const;
+  void EndNearWait(const WorkEntry& aEntry,
+                   TaskEntry& aTask,
+                   std::string_view aDetail,
+                   SchedulerEffects& aEffects);
+  //! Teaches the models of run times, speeds and the remote factor.
+  void LearnRunTime(const WorkEntry& aEntry,
+                    const TaskEntry& aTask,
+                    EndpointEntry& aEndpoint);
   void Start(WorkEntry& aEntry,
              TaskEntry& aTask,
              EndpointEntry& aEndpoint,
@@ -261,14 +320,24 @@
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
+  RemoteFactor remoteFactor_;
+  // Totals for metrics.
+  std::uint64_t placedNear_ = 0;
+  std::uint64_t placedAway_ = 0;
+  std::uint64_t nearWaits_ = 0;
+  Duration nearWaitTime_{ 0 };
   // The last refusal for lack of resources.
   TimePoint lastRefusalAt_{};
   Duration lastRefusalSlack_{ 0 };
   std::int64_t lastRefusalCpuMillis_ = 0; //!< Of all its tasks.
+  std::string lastRefusalRack_;           //!< That it preferred.
   // Valid during a dispatch.
   std::vector<EndpointEntry*> usableEndpoints_;
   double fastestSpeed_ = 0;            //!< Among the usable endpoints.
   std::int64_t maxFreeCpuMillis_ = -1; //!< Largest on a usable endpoint.
+  std::optional<RackOccupancy> racks_;
+  //! Racks that tasks waited for after the last dispatch.
+  std::set<std::string, std::less<>> wantedRacks_;
   AdmissionMargin margin_;
   Dice dice_;
 
--- a/src/scheduler/WorkEntry.cpp
+++ b/src/scheduler/WorkEntry.cpp
@@ -19,6 +19,7 @@
   , arrivedAt_(aNow)
   , attemptSentAt_(aNow - work_.age)
 {
+  stepRacks_.resize(work_.steps.size());
   std::uint32_t step = 0;
   for (const WorkStep& spec : work_.steps) {
     remainingTasks_.push_back(spec.count);
@@ -91,6 +92,17 @@
   return nullptr;
 }
 
+std::string_view WorkEntry::FirstPreferredRack() const
+{
+  for (std::uint32_t step = 0; step < work_.steps.size(); ++step) {
+    const std::string_view rack = PreferredRack(step);
+    if (!rack.empty()) {
+      return rack;
+    }
+  }
+  return {};
+}
+
 bool WorkEntry::IsStepReady(std::uint32_t aStep) const
 {
   const auto& after = work_.steps[aStep].after;
--- a/src/scheduler/WorkEntry.h
+++ b/src/scheduler/WorkEntry.h
@@ -22,6 +22,30 @@
   Done,
 };
 
+//! Where a task runs relative to the rack that it prefers.
+enum class TaskLocality : std::uint8_t
+{
+  NoPreference,
+  Near,
+  Away,
+};
+
+//! The wait of one task for an endpoint of the rack that it prefers.
+struct NearWaitState
+{
+  std::optional<TimePoint> since; //!< Set while it waits.
+  TimePoint until{};
+  TimePoint checkAt{};     //!< Decided anew from then on.
+  bool isTimeOver = false; //!< It does not wait again before its next run.
+};
+
+//! The rack of a step whose tasks run faster in one rack.
+struct StepRack
+{
+  std::string rack;      //!< Empty: not chosen.
+  bool isSpread = false; //!< Its tasks run in several racks.
+};
+
 //! One task and its current run.
 struct TaskEntry
 {
@@ -41,7 +65,12 @@
   //! When the lease of the run was found to have expired unseen.
   std::optional<TimePoint> lapsedAt;
   std::int64_t deadlineClockMs = 0; //!< The start is rejected after this.
-  Duration predicted{ 0 };          //!< Run time at speed 1.
+  Duration predicted{ 0 };          //!< Run time at speed 1, with slowdown.
+  double slowdown = 1;              //!< Run time factor for running away.
+  TaskLocality locality = TaskLocality::NoPreference;
+  NearWaitState nearWait;
+  //! At the last dispatch it could end in time neither near nor away.
+  bool isLateNearAndAway = false;
 
   bool IsActive() const
   {
@@ -83,6 +112,21 @@
     return work_.steps[aTask.step];
   }
 
+  //! The rack that tasks of the step prefer; empty: any.
+  std::string_view PreferredRack(std::uint32_t aStep) const
+  {
+    const WorkStep& step = work_.steps[aStep];
+    return step.preferredRack.empty() ? stepRacks_[aStep].rack
+                                      : step.preferredRack;
+  }
+  //! The rack that the first step with a preference prefers; empty: any.
+  std::string_view FirstPreferredRack() const;
+  StepRack& StepRackOf(std::uint32_t aStep) { return stepRacks_[aStep]; }
+  bool IsSpread(std::uint32_t aStep) const
+  {
+    return stepRacks_[aStep].isSpread;
+  }
+
   //! Whether all steps before this one are done.
   bool IsStepReady(std::uint32_t aStep) const;
   bool IsDone() const { return doneTasks_ == tasks_.size(); }
@@ -133,6 +177,7 @@
   TimePoint arrivedAt_;
   TimePoint attemptSentAt_; //!< When the caller sent the newest attempt.
   std::vector<TaskEntry> tasks_;
+  std::vector<StepRack> stepRacks_;
   std::vector<std::uint32_t> remainingTasks_; //!< Tasks not done, by step.
   std::size_t doneTasks_ = 0;
   bool started_ = false;
