Wait for a near endpoint only while a start away stays in time

Cause: a task could wait until the latest start away though no near endpoint was expected by then, and went away afterwards.

--- a/src/scheduler/NearWait.cpp
+++ b/src/scheduler/NearWait.cpp
@@ -34,7 +34,13 @@
   if (isNearInTime != isAwayInTime) {
     return isNearInTime;
   }
-  return (isNearInTime && aNear.start <= aAway.start) || aNear.end <= aAway.end;
+  if (isNearInTime && aNear.start <= aAway.start) {
+    return true;
+  }
+  // A wait must not last until a start away would be late.
+  return aNear.end <= aAway.end &&
+         (!isAwayInTime ||
+          aNear.start <= LatestStart(aAway, aLatestEnd, aMargin));
 }
 
 NearWaitDecision DecideNearWait(const NearWaitInputs& aInputs)
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -47,6 +47,8 @@
   step.taskResources = { 1, 2, 3 };
   step.after = { 0 };
   step.requiredLabel = "a";
+  step.preferredRack = "r";
+  step.sameRack = true;
   work.steps.push_back(step);
   work.stretch = 1.6;
   work.callerTimeout = Duration(5);
@@ -92,6 +94,8 @@
   const Work work = std::get<Work>(*DecodeLinkMessage(workBytes));
   LONGS_EQUAL(14, work.payload.size());
   LONGS_EQUAL(3, work.steps.at(0).taskResources.accelerators);
+  STRCMP_EQUAL("r", work.steps.at(0).preferredRack.c_str());
+  CHECK(work.steps.at(0).sameRack);
   LONGS_EQUAL(2, work.submissions);
   LONGS_EQUAL(12, work.priorEndpoints.listedBy);
   LONGS_EQUAL(6, work.priorEndpoints.leftFrom);
--- a/tests/support/RackReplay.cpp
+++ b/tests/support/RackReplay.cpp
@@ -146,8 +146,8 @@
     step.count = static_cast<std::uint32_t>(
       std::max(1.0, std::round(Draw(kind.tasks, kSigma))));
     step.taskResources = { static_cast<std::int64_t>(Draw(6800, 0.2)), 64, 0 };
-    step.estimate = Duration(
-      static_cast<std::int64_t>(Draw(job.runTimeMs, kSigma) * 1000));
+    step.estimate =
+      Duration(static_cast<std::int64_t>(Draw(job.runTimeMs, kSigma) * 1000));
     step.preferredRack = job.rack;
     work.steps.push_back(std::move(step));
     work.attempts = 3;
