--- a/tests/scheduler/RackPlacementTest.cpp
+++ b/tests/scheduler/RackPlacementTest.cpp
@@ -183,6 +183,7 @@
 {
   RackCluster cluster(aFleet);
   std::vector<std::string> ids;
+  ids.reserve(40);
   for (int i = 0; i < 40; ++i) {
     ids.push_back("w" + std::to_string(i));
   }
