--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -90,6 +90,9 @@
   }
   LogDecision(aEffects, "lead", "", nullptr, "yielded", aReason);
   for (auto& [id, entry] : works_) {
+    for (TaskEntry& task : entry->Tasks()) {
+      EndNearWait(*entry, task, "work ended", aEffects);
+    }
     if (!entry->IsAnswered()) {
       SendAnswer(*entry, WorkOutcome::Moved, aReason, Duration(0), aEffects);
     }
--- a/tests/scheduler/RackPlacementTest.cpp
+++ b/tests/scheduler/RackPlacementTest.cpp
@@ -43,7 +43,10 @@
     : fleet_(aFleet)
     , cluster_(MakeOptions(aFleet))
   {
-    cluster_.work = [this](const TaskKey&) { return Ms(fleet_.runMs); };
+    cluster_.work = [this](const TaskKey& aTask) {
+      // Far longer than predicted.
+      return Ms(aTask.workId == "slow" ? 10 * fleet_.runMs : fleet_.runMs);
+    };
     cluster_.slowdown = [this](const TaskKey& aTask, std::size_t aEndpoint) {
       const std::string used = cluster_.RackOf(aEndpoint);
       usedRacks_[aTask.workId].insert(used);
@@ -61,7 +64,7 @@
     Work work;
     work.id = aJob.id;
     work.kind = "k";
-    work.stretch = 6;
+    work.stretch = 8;
     work.targetLatency = Ms(100);
     work.callerTimeout = Ms(20000);
     work.attempts = 3;
@@ -218,6 +221,20 @@
   }
 }
 
+TEST(RackPlacement, EndsAWaitWhenItsTimeIsOver)
+{
+  RackCluster cluster({ 3, 2, 400 });
+  cluster.Submit({ "slow", "r0", 2, false });
+  // The run away takes 1,200 ms, so that a start near pays for 800 ms.
+  cluster.Submit({ "w", "r0", 1, false });
+  LONGS_EQUAL(1, cluster.Count("near-wait w  begun"));
+  cluster.Simulation().Time().RunFor(Ms(700));
+  LONGS_EQUAL(0, cluster.Count(" sent away"));
+  cluster.Simulation().Time().RunFor(Ms(150));
+  LONGS_EQUAL(1, cluster.Count("ended time is over"));
+  LONGS_EQUAL(1, cluster.Count(" sent away"));
+}
+
 TEST(RackPlacement, EndsWaitsWhenTheRackIsLost)
 {
   for (const LossRow& row : kLossRows) {
