--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -72,23 +72,24 @@
   return 1 + (endpoints_.size() - 1) / kMaxForecastEndpoints;
 }
 
-void SchedulerState::AddToForecast(Forecast& aForecast,
-                                   const EndpointEntry& aEndpoint,
-                                   bool aIsInSample) const
+void SchedulerState::AddToForecast(
+  Forecast& aForecast,
+  const EndpointEntry& aEndpoint,
+  bool aIsInSample,
+  std::vector<ResourceRelease>& aReleases) const
 {
-  std::vector<ResourceRelease> releases;
-  releases.reserve(aEndpoint.runs.size());
+  aReleases.clear();
   for (const auto& [entry, task] : aEndpoint.runs) {
     // An overdue run is expected to continue for some time.
     const auto overdueTime = Duration(static_cast<std::int64_t>(
       static_cast<double>(task->predicted.count()) * kOverdueFactor));
     const TimePoint end =
       task->expectedEnd > now_ ? task->expectedEnd : now_ + overdueTime;
-    releases.push_back({ end, entry->StepOf(*task).taskResources });
+    aReleases.push_back({ end, entry->StepOf(*task).taskResources });
   }
   aForecast.AddEndpoint(aEndpoint.free,
                         aEndpoint.speed.Value(),
-                        releases,
+                        aReleases,
                         aEndpoint.listed.rack,
                         aIsInSample);
 }
@@ -108,7 +109,7 @@
     }
     releases.clear();
     if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
-      AddToForecast(forecast, endpoint, isInSample);
+      AddToForecast(forecast, endpoint, isInSample, releases);
     } else if (takingOver && endpoint.isListed && !endpoint.isEvacuated &&
                !endpoint.listed.draining) {
       releases.push_back(
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -45,7 +45,8 @@
     now_,
     [this] { return Span<EndpointEntry* const>(usableEndpoints_); },
     [this](Forecast& aForecast, const EndpointEntry& aEndpoint) {
-      AddToForecast(aForecast, aEndpoint, true);
+      std::vector<ResourceRelease> releases;
+      AddToForecast(aForecast, aEndpoint, true, releases);
     });
   wantedRacks_.clear();
   // In-time tasks first: late ones would make all tasks behind them late too.
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -85,10 +85,12 @@
   std::size_t SampleStride() const;
   //! Includes all endpoints of this rack, unless it is empty.
   Forecast MakeForecast(std::size_t aStride, std::string_view aRack) const;
-  //! Adds a usable endpoint and its active runs.
+  //! Adds a usable endpoint and its active runs. aReleases is overwritten; its
+  //! storage is reused from endpoint to endpoint.
   void AddToForecast(Forecast& aForecast,
                      const EndpointEntry& aEndpoint,
-                     bool aIsInSample) const;
+                     bool aIsInSample,
+                     std::vector<ResourceRelease>& aReleases) const;
   //! Whether work that needed no more resources and had at least as much time
   //! was refused just before.
   bool ResemblesLastRefusal(const WorkEntry& aEntry) const;
