--- a/include/hemlockhaven/scheduler/NearWait.h
+++ b/include/hemlockhaven/scheduler/NearWait.h
@@ -44,8 +44,8 @@
 
 //! Whether to run the task near: where it ends in time, then near if that
 //! starts as early, as a run away takes more endpoint time, then where it ends
-//! first. A run near that starts after the latest start away is not preferred to
-//! one away that is in time.
+//! first. A run near that starts after the latest start away is not preferred
+//! to one away that is in time.
 bool PrefersNear(const ExpectedRun& aNear,
                  const ExpectedRun& aAway,
                  TimePoint aLatestEnd,
