Spend less on each request of the HTTP client

Cause: at the leader most of the processor time of a task is that of its requests, about 2.2 a task. Each one set and cancelled a timer, read once before the response could have arrived, and passed several handlers through type-erased executors.

A request is now written at once, waits for the socket to become readable and is read directly. The executor is a concrete type. The timer of a connection is left running from one request to the next, and is set again only when it expires. The parser, and with it the bounds on responses, is the one of before.

--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -4,11 +4,13 @@
 #include "net/HttpClient.h"
 #include "net/SocketOptions.h"
 
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace hemlockhaven::Detail {
@@ -47,7 +49,9 @@
   : client_(aClient)
   , address_(std::move(aAddress))
   , maxResponseBytes_(aMaxResponseBytes)
-  , stream_(net::make_strand(aContext))
+  , executor_(net::make_strand(aContext.get_executor()))
+  , socket_(executor_)
+  , timer_(executor_)
   , deadline_(Duration(0), std::nullopt, TimePoint())
 {
 }
@@ -56,20 +60,30 @@
 {
   currentRequest_ = std::move(aRequest);
   callback_ = std::move(aCallback);
-  parser_.reset();
-  deadline_ = TransferDeadline(
-    currentRequest_.timeout, currentRequest_.stallTimeout, SteadyNow());
   requestBytes_ = EncodeRequest(currentRequest_);
-  net::dispatch(stream_.get_executor(), [self = shared_from_this()] {
-    self->ArmTimeout();
-    if (self->connected_) {
-      self->Write();
-    } else {
-      self->Connect();
-    }
+  net::dispatch(executor_, [self = shared_from_this(), begin = SteadyNow()] {
+    // The timer of an earlier request may read it on the strand.
+    self->deadline_ = TransferDeadline(
+      self->currentRequest_.timeout, self->currentRequest_.stallTimeout, begin);
+    self->Begin();
   });
 }
 
+void HttpClientConnection::Begin()
+{
+  isBusy_ = true;
+  written_ = 0;
+  parser_.emplace();
+  parser_->body_limit(maxResponseBytes_);
+  parser_->eager(true); // Parses a response that is buffered whole in one call.
+  ArmTimer();
+  if (connected_) {
+    Write();
+  } else {
+    Connect();
+  }
+}
+
 void HttpClientConnection::Connect()
 {
   const auto endpoint = ParseAddress(address_);
@@ -77,66 +91,148 @@
     Fail(HttpOutcome::NotSent, "bad address");
     return;
   }
-  stream_.async_connect(
+  socket_.async_connect(
     *endpoint, [self = shared_from_this()](const beast::error_code& aError) {
-      if (aError) {
-        self->Fail(HttpOutcome::NotSent, aError.message());
+      if (!self->isBusy_) {
+        return; // The deadline has passed.
+      }
+      beast::error_code error = aError;
+      if (!error) {
+        SetSocketOptions(self->socket_.native_handle());
+        self->socket_.non_blocking(true, error);
+      }
+      if (error) {
+        self->Fail(HttpOutcome::NotSent, error.message());
         return;
       }
       self->connected_ = true;
-      SetSocketOptions(self->stream_.socket());
       self->Write();
     });
 }
 
 void HttpClientConnection::Write()
 {
-  net::async_write(
-    stream_,
-    net::buffer(requestBytes_),
-    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
+  beast::error_code error;
+  while (written_ < requestBytes_.size() && !error) {
+    written_ += socket_.send(net::buffer(requestBytes_) + written_, 0, error);
+  }
+  if (error == net::error::would_block) {
+    socket_.async_wait(
+      Socket::wait_write,
+      [self = shared_from_this()](const beast::error_code& aError) {
+        if (!self->isBusy_) {
+          return;
+        }
+        if (aError) {
+          self->Fail(HttpOutcome::Unknown, aError.message());
+        } else {
+          self->Write();
+        }
+      });
+    return;
+  }
+  if (error) {
+    Fail(HttpOutcome::Unknown, error.message());
+    return;
+  }
+  // The response cannot have arrived yet: to read now would only cost a system
+  // call.
+  WaitForData();
+}
+
+void HttpClientConnection::ArmTimer()
+{
+  const TimePoint due = deadline_.At();
+  if (timerExpiresAt_ && *timerExpiresAt_ <= due) {
+    return; // It is set again when it expires.
+  }
+  timerExpiresAt_ = due;
+  timer_.expires_at(due);
+  timer_.async_wait(
+    [self = shared_from_this()](const beast::error_code& aError) {
+      if (!aError) {
+        self->OnTimer();
+      }
+    });
+}
+
+void HttpClientConnection::OnTimer()
+{
+  timerExpiresAt_.reset();
+  if (!isBusy_) {
+    return;
+  }
+  if (SteadyNow() >= deadline_.At()) {
+    Fail(connected_ ? HttpOutcome::Unknown : HttpOutcome::NotSent,
+         beast::error_code(beast::error::timeout).message());
+  } else {
+    ArmTimer();
+  }
+}
+
+void HttpClientConnection::WaitForData()
+{
+  socket_.async_wait(
+    Socket::wait_read,
+    [self = shared_from_this()](const beast::error_code& aError) {
+      if (!self->isBusy_) {
+        return;
+      }
       if (aError) {
         self->Fail(HttpOutcome::Unknown, aError.message());
       } else {
-        self->Read();
+        self->ReadAvailable();
       }
     });
 }
 
-void HttpClientConnection::ArmTimeout()
+void HttpClientConnection::ReadAvailable()
 {
-  stream_.expires_after(deadline_.At() - SteadyNow());
+  constexpr std::size_t kMaxRead = 65536;
+  beast::error_code error;
+  const std::size_t bytes = socket_.receive(
+    buffer_.prepare(beast::read_size(buffer_, kMaxRead)), 0, error);
+  if (error == net::error::would_block) {
+    WaitForData();
+  } else if (error == net::error::eof) {
+    OnEndOfStream();
+  } else if (error) {
+    Fail(HttpOutcome::Unknown, error.message());
+  } else {
+    buffer_.commit(bytes);
+    Parse();
+  }
 }
 
-void HttpClientConnection::Read()
+void HttpClientConnection::Parse()
 {
-  parser_.emplace();
-  parser_->body_limit(maxResponseBytes_);
-  parser_->eager(true); // Parses a response that is buffered whole in one call.
-  ReadMore();
+  beast::error_code error;
+  buffer_.consume(parser_->put(buffer_.data(), error));
+  if (error && error != http::error::need_more) {
+    Fail(HttpOutcome::Unknown, error.message());
+    return;
+  }
+  if (parser_->is_done()) {
+    OnResponse();
+    return;
+  }
+  if (currentRequest_.stallTimeout) {
+    deadline_.OnProgress(SteadyNow());
+  }
+  WaitForData();
 }
 
-void HttpClientConnection::ReadMore()
+void HttpClientConnection::OnEndOfStream()
 {
-  http::async_read_some(
-    stream_,
-    buffer_,
-    *parser_,
-    [self = shared_from_this()](const beast::error_code& aError, std::size_t) {
-      if (aError) {
-        self->Fail(HttpOutcome::Unknown, aError.message());
-        return;
-      }
-      if (self->parser_->is_done()) {
-        self->OnResponse();
-        return;
-      }
-      if (self->currentRequest_.stallTimeout) {
-        self->deadline_.OnProgress(SteadyNow());
-        self->ArmTimeout();
-      }
-      self->ReadMore();
-    });
+  beast::error_code error = http::error::end_of_stream;
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
+  }
+  if (!error && parser_->is_done()) {
+    OnResponse();
+  } else {
+    Fail(HttpOutcome::Unknown, error.message());
+  }
 }
 
 void HttpClientConnection::OnResponse()
@@ -168,7 +264,7 @@
 {
   const HttpCallback callback = std::exchange(callback_, nullptr);
   requestBytes_.clear();
-  stream_.expires_never();
+  isBusy_ = false;
   if (aKeepAlive) {
     idleSince_ = SteadyNow();
     client_.OnIdle(shared_from_this());
@@ -185,7 +281,7 @@
 {
   char byte = 0;
   const auto bytesRead =
-    ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   // No data is expected on an idle connection; 0 is the end of the stream.
   return bytesRead >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
@@ -193,8 +289,11 @@
 void HttpClientConnection::Close()
 {
   beast::error_code ignored; // The connection is abandoned anyway.
-  stream_.socket().close(ignored);
+  socket_.close(ignored);
   connected_ = false;
+  // Other threads close idle connections.
+  net::dispatch(executor_,
+                [self = shared_from_this()] { self->timer_.cancel(); });
 }
 
 }
--- a/src/net/SocketOptions.cpp
+++ b/src/net/SocketOptions.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace hemlockhaven {
 
@@ -14,14 +15,22 @@
 }
 
 void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket)
+{
+  SetSocketOptions(aSocket.native_handle());
+}
+
+void SetSocketOptions(int aDescriptor)
 {
   // Errors are ignored: without these options a connection still works, but
   // sends later or takes longer to detect a dead peer.
-  boost::system::error_code ignored;
-  aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  using UserTimeout =
-    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  aSocket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+  const int noDelay = 1;
+  ::setsockopt(
+    aDescriptor, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
+  ::setsockopt(aDescriptor,
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &kUserTimeoutMs,
+               sizeof(kUserTimeoutMs));
 }
 
 }
--- a/src/net/SocketOptions.h
+++ b/src/net/SocketOptions.h
@@ -8,6 +8,8 @@
 //! Disables Nagle's algorithm and sets a TCP user timeout, which closes the
 //! connection to a peer that has acknowledged no data for 3 seconds.
 void SetSocketOptions(boost::asio::ip::tcp::socket& aSocket);
+//! The same for a socket of any executor, by its descriptor.
+void SetSocketOptions(int aDescriptor);
 
 }
 
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -14,11 +14,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <memory>
 #include <sstream>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <unistd.h>
 
@@ -216,10 +218,15 @@
   std::string id;
   std::int64_t cpuMillis = 16000;
   double speed = 1;
+  std::size_t count = 0;
   CLI::App app("Stand-in for an endpoint of the platform");
   app.add_option("--address", address, "IP number to listen on")->required();
   app.add_option("--port", port, "TCP port")->required();
   app.add_option("--id", id, "Id of the endpoint")->required();
+  app.add_option("--count",
+                 count,
+                 "Endpoints in this process: ID-0 at the port, ID-1 at the "
+                 "next one, and so on; 0: one with this very id");
   app.add_option("--cpu-millis", cpuMillis, "Capacity in thousandths of cores");
   app.add_option("--speed", speed, "Work done in a second, in seconds");
   CLI11_PARSE(app, aCount, aArguments);
@@ -228,14 +235,24 @@
   boost::asio::io_context context(1);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&context](const auto&, int) { context.stop(); });
-  Server server(context, id, cpuMillis, speed);
-  const HttpListener listener(
-    context,
-    { boost::asio::ip::make_address(address), port },
-    HttpListener::Limits(),
-    [&server](const IncomingRequest& aRequest, ReplyHook aReply) {
-      return server.Handle(aRequest, std::move(aReply));
-    });
+  std::vector<std::unique_ptr<Server>> servers;
+  std::vector<std::unique_ptr<HttpListener>> listeners;
+  for (std::size_t i = 0; i < std::max<std::size_t>(1, count); ++i) {
+    servers.push_back(
+      std::make_unique<Server>(context,
+                               count == 0 ? id : id + "-" + std::to_string(i),
+                               cpuMillis,
+                               speed));
+    listeners.push_back(std::make_unique<HttpListener>(
+      context,
+      boost::asio::ip::tcp::endpoint{ boost::asio::ip::make_address(address),
+                                      static_cast<std::uint16_t>(port + i) },
+      HttpListener::Limits(),
+      [&server = *servers.back()](const IncomingRequest& aRequest,
+                                  ReplyHook aReply) {
+        return server.Handle(aRequest, std::move(aReply));
+      }));
+  }
   context.run();
   return 0;
 }
