Keep the list of usable endpoints up to date instead of rebuilding it

Cause: each dispatch checked all endpoints of the map, each start looked for the largest free processor share among them, and each waiting task looked at all of them, also at full ones; each tick went through all work that finished in the last 5 s, and each forecast through the whole map for its sample.

UsableEndpoints holds what is read for each task in two arrays by slot. An event touches the endpoint that it changes; all are checked when time alone may have changed one. A search looks only at endpoints with enough free processor share, and is not repeated for a task that differs in nothing from one that has just found no place. The speed of an endpoint is computed when it is learned, and finished work is forgotten in order of time.

--- a/include/hemlockhaven/scheduler/RunTimeModel.h
+++ b/include/hemlockhaven/scheduler/RunTimeModel.h
@@ -4,9 +4,10 @@
 #include "hemlockhaven/core/Time.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 namespace hemlockhaven {
 
@@ -36,7 +37,7 @@
     std::uint64_t sampleCount = 0;
   };
 
-  std::unordered_map<std::string, Kind> kinds_;
+  std::map<std::string, Kind, std::less<>> kinds_;
 };
 
 //! Learns the speed of one endpoint from its runs.
@@ -49,7 +50,7 @@
   static constexpr double kMaxFactor = 4;
 
   //! Relative speed; at 1, runs take their predicted time.
-  double Value() const;
+  double Value() const { return value_; }
 
   //! Adds a run that took aMeasured and was predicted to take aRunTime at
   //! speed 1.
@@ -59,6 +60,7 @@
 
 private:
   double logSpeed_ = 0;
+  double value_ = 1; //!< exp(logSpeed_); read far more often than learned.
   std::uint64_t sampleCount_ = 0;
 };
 
--- a/src/scheduler/EndpointEntry.cpp
+++ b/src/scheduler/EndpointEntry.cpp
@@ -47,6 +47,25 @@
   return {};
 }
 
+TimePoint EndpointEntry::UsabilityReviewAt(TimePoint aNow,
+                                           Duration aResponseTimeout) const
+{
+  TimePoint at = TimePoint::max();
+  if (aNow < usableAt) {
+    at = std::min(at, usableAt);
+  }
+  if (aNow < noStartsUntil) {
+    at = std::min(at, noStartsUntil);
+  }
+  if (isPollInFlight) {
+    const TimePoint silentAfter = SilentSince(aNow) + aResponseTimeout;
+    if (aNow <= silentAfter) {
+      at = std::min(at, silentAfter + Duration(1));
+    }
+  }
+  return at;
+}
+
 void EndpointEntry::Occupy(WorkEntry& aEntry, TaskEntry& aTask)
 {
   free -= aEntry.StepOf(aTask).taskResources;
--- a/src/scheduler/EndpointEntry.h
+++ b/src/scheduler/EndpointEntry.h
@@ -10,6 +10,7 @@
 #include "scheduler/UnansweredStarts.h"
 #include "scheduler/WorkEntry.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <utility>
@@ -42,6 +43,10 @@
   std::string_view UnusableReason(TimePoint aNow,
                                   Duration aResponseTimeout) const;
 
+  //! When the passing of time alone may change whether it is usable, at the
+  //! earliest.
+  TimePoint UsabilityReviewAt(TimePoint aNow, Duration aResponseTimeout) const;
+
   //! Reserves resources for a run of the task.
   void Occupy(WorkEntry& aEntry, TaskEntry& aTask);
   //! Frees the resources of the task's run.
@@ -86,7 +91,8 @@
   TimePoint pollSentAt{};
   TimePoint lastReplyAt{}; //!< Last reply of any kind.
   bool isResponding = false;
-  TimePoint noStartsUntil{}; //!< After a refusal for lack of resources.
+  TimePoint noStartsUntil{};  //!< After a refusal for lack of resources.
+  std::size_t usableSlot = 0; //!< Its place in UsableEndpoints.
 };
 
 }
--- a/src/scheduler/RunTimeModel.cpp
+++ b/src/scheduler/RunTimeModel.cpp
@@ -23,7 +23,7 @@
 
 Duration RunTimeModel::Predict(std::string_view aKind, Duration aEstimate) const
 {
-  const auto found = kinds_.find(std::string(aKind));
+  const auto found = kinds_.find(aKind);
   if (found == kinds_.end()) {
     return aEstimate;
   }
@@ -51,11 +51,6 @@
   }
 }
 
-double EndpointSpeed::Value() const
-{
-  return std::exp(logSpeed_);
-}
-
 void EndpointSpeed::Learn(Duration aRunTime, Duration aMeasured)
 {
   ++sampleCount_;
@@ -65,6 +60,7 @@
   const double weight =
     std::max(kSampleWeight, 1.0 / static_cast<double>(sampleCount_ + 1));
   logSpeed_ += weight * logError;
+  value_ = std::exp(logSpeed_);
 }
 
 }
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -75,13 +75,10 @@
 Forecast SchedulerState::MakeForecast(std::size_t aStride) const
 {
   Forecast forecast(now_);
-  std::size_t number = 0;
   const bool takingOver = now_ - termStartedAt_ < policy_.takeoverTime;
   std::vector<ResourceRelease> releases;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (number++ % aStride != 0) {
-      continue;
-    }
+  for (std::size_t slot = 0; slot < usable_.Count(); slot += aStride) {
+    const EndpointEntry& endpoint = usable_.At(slot);
     releases.clear();
     if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
       for (const auto& [entry, task] : endpoint.runs) {
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -3,6 +3,8 @@
 #include "scheduler/SchedulerState.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace hemlockhaven::Detail {
 
@@ -30,23 +32,8 @@
 
 void SchedulerState::CollectUsableEndpoints()
 {
-  usableEndpoints_.clear();
-  fastestSpeed_ = 0;
-  for (auto& [id, endpoint] : endpoints_) {
-    if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
-      usableEndpoints_.push_back(&endpoint);
-      fastestSpeed_ = std::max(fastestSpeed_, endpoint.speed.Value());
-    }
-  }
-  UpdateMaxFreeCpu();
-}
-
-void SchedulerState::UpdateMaxFreeCpu()
-{
-  maxFreeCpuMillis_ = -1;
-  for (const EndpointEntry* endpoint : usableEndpoints_) {
-    maxFreeCpuMillis_ = std::max(maxFreeCpuMillis_, endpoint->free.cpuMillis);
-  }
+  usable_.Update(now_, policy_.responseTimeout);
+  fastestSpeed_ = usable_.FastestSpeed();
 }
 
 void SchedulerState::DispatchQueue(bool aLate, SchedulerEffects& aEffects)
@@ -54,14 +41,29 @@
   for (auto entry = queue_.begin(); entry != queue_.end();) {
     WorkEntry& work = *entry->second;
     bool hasWaiting = work.heldUntil.has_value();
+    // Tasks of a step differ in the endpoint that they avoid only: after one
+    // that found no place, the same search for the next would find none.
+    const TaskEntry* unplaced = nullptr;
+    std::optional<std::pair<std::uint32_t, bool>> lateness; //!< Of one step.
     for (TaskEntry& task : work.Tasks()) {
       if (task.phase != TaskPhase::Waiting || work.heldUntil) {
         continue;
       }
+      const bool isHopeless = unplaced != nullptr &&
+                              unplaced->step == task.step &&
+                              unplaced->avoidedEndpoint == task.avoidedEndpoint;
+      if (isHopeless ||
+          work.StepOf(task).taskResources.cpuMillis > usable_.MaxFreeCpu() ||
+          !work.IsStepReady(task.step)) {
+        hasWaiting = true;
+        continue;
+      }
+      if (!lateness || lateness->first != task.step) {
+        lateness.emplace(task.step, IsLate(work, task));
+      }
       const bool started =
-        work.StepOf(task).taskResources.cpuMillis <= maxFreeCpuMillis_ &&
-        work.IsStepReady(task.step) && IsLate(work, task) == aLate &&
-        DispatchTask(work, task, aEffects);
+        lateness->second == aLate && DispatchTask(work, task, aEffects);
+      unplaced = started ? nullptr : &task;
       hasWaiting = hasWaiting || !started;
     }
     entry = hasWaiting ? std::next(entry) : queue_.erase(entry);
@@ -93,7 +95,8 @@
   std::vector<PlacementCandidate> candidates;
   std::vector<EndpointEntry*> candidateEndpoints;
   const auto collect = [&](bool aAvoid) {
-    for (EndpointEntry* usable : usableEndpoints_) {
+    for (EndpointEntry* usable :
+         usable_.WithFreeCpu(step.taskResources.cpuMillis)) {
       EndpointEntry& endpoint = *usable;
       const std::string& id = endpoint.listed.id;
       if (!step.taskResources.FitsInto(endpoint.free) ||
@@ -152,11 +155,8 @@
     aEndpoint.lease.DeadlineIn(policy_.startValidity, now_).value_or(0);
   aEndpoint.lease.Extend(deadline);
   aEndpoint.Occupy(aEntry, aTask);
-  if (!aEndpoint.IsUsable(now_, policy_.responseTimeout)) {
-    // On probation an endpoint gets one run at a time.
-    usableEndpoints_.erase(
-      std::find(usableEndpoints_.begin(), usableEndpoints_.end(), &aEndpoint));
-  }
+  // On probation an endpoint gets one run at a time.
+  usable_.Refresh(aEndpoint, now_, policy_.responseTimeout);
   // The reply to the start is followed by a poll; without a reply, this is.
   aEndpoint.nextPollAt =
     std::min(aEndpoint.nextPollAt, now_ + policy_.pollRetryDelay);
@@ -183,7 +183,6 @@
   command.payload = aEntry.Spec().payload;
   command.deadlineClockMs = deadline;
   aEffects.starts.push_back(std::move(command));
-  UpdateMaxFreeCpu();
 }
 
 }
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -505,6 +505,7 @@
   aTask.predicted = Duration(0);
   aTask.expectedEnd = now_ + PredictTask(aEntry, aTask.step);
   aEndpoint.Occupy(aEntry, aTask);
+  usable_.Touch(aEndpoint);
   aEntry.MarkStarted(now_);
   LogDecision(aEffects, "run", aEntry.Spec().id, &aEndpoint, "adopted");
 }
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -17,7 +17,11 @@
 EndpointEntry* SchedulerState::FindEndpoint(const std::string& aId)
 {
   const auto found = endpoints_.find(aId);
-  return found == endpoints_.end() ? nullptr : &found->second;
+  if (found == endpoints_.end()) {
+    return nullptr;
+  }
+  usable_.Touch(found->second);
+  return &found->second;
 }
 
 WorkEntry* SchedulerState::FindWork(const std::string& aId)
@@ -75,6 +79,7 @@
     endpoint.isPollInFlight = false;
     SendPoll(endpoint, Duration(0), aEffects);
   }
+  usable_.TouchAll();
   // Another leader may have had the work in between and started it.
   for (auto& [id, entry] : works_) {
     entry->heldUntil = now_ + policy_.takeoverHoldTime;
@@ -105,6 +110,7 @@
   works_.clear();
   queue_.clear();
   finished_.clear();
+  finishedOrder_.clear();
   earlyCompletions_.clear();
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.free = endpoint.listed.capacity;
@@ -114,6 +120,7 @@
     endpoint.isPollInFlight = false;
     endpoint.isResponding = false;
   }
+  usable_.TouchAll();
   token_ = 0;
 }
 
@@ -164,6 +171,7 @@
       endpoint.leftBy = listPosition_.readUpTo;
     }
   }
+  usable_.Assign(endpoints_);
   Dispatch(aEffects);
 }
 
@@ -175,6 +183,7 @@
   for (auto& [id, endpoint] : endpoints_) {
     endpoint.isEvacuated = evacuatedZones_.count(endpoint.listed.zone) > 0;
   }
+  usable_.TouchAll();
   Dispatch(aEffects);
 }
 
@@ -292,6 +301,7 @@
                                aEntry.Waited() });
   if (aOutcome == WorkOutcome::Completed || aOutcome == WorkOutcome::Failed) {
     finished_[aEntry.Spec().id] = { now_, aOutcome };
+    finishedOrder_.emplace_back(now_, aEntry.Spec().id);
   }
 }
 
@@ -471,6 +481,7 @@
 
 void SchedulerState::EraseUnlistedEndpoints(Duration aRetention)
 {
+  const std::size_t count = endpoints_.size();
   for (auto entry = endpoints_.begin(); entry != endpoints_.end();) {
     const EndpointEntry& endpoint = entry->second;
     const bool isExpired = !endpoint.isListed && endpoint.runs.empty() &&
@@ -481,6 +492,9 @@
     }
     entry = isExpired ? endpoints_.erase(entry) : std::next(entry);
   }
+  if (endpoints_.size() != count) {
+    usable_.Assign(endpoints_);
+  }
 }
 
 }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -6,8 +6,10 @@
 #include "hemlockhaven/scheduler/Forecast.h"
 #include "hemlockhaven/scheduler/Scheduler.h"
 #include "scheduler/EndpointEntry.h"
+#include "scheduler/UsableEndpoints.h"
 #include "scheduler/WorkEntry.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +62,8 @@
   void SetEntryVmContacts(Span<const EntryVmContact> aContacts);
   void Tick(SchedulerEffects& aEffects);
   SchedulerLoad Load() const;
+  const UsableEndpoints& Usable() const { return usable_; }
+  const UsableEndpoints::Map& Endpoints() const { return endpoints_; }
 
 private:
   using WorkMap = std::unordered_map<std::string, std::unique_ptr<WorkEntry>>;
@@ -109,7 +113,6 @@
   //! Whether the task would end late even on the fastest endpoint.
   bool IsLate(const WorkEntry& aEntry, const TaskEntry& aTask) const;
   void CollectUsableEndpoints();
-  void UpdateMaxFreeCpu();
   bool DispatchTask(WorkEntry& aEntry,
                     TaskEntry& aTask,
                     SchedulerEffects& aEffects);
@@ -171,6 +174,7 @@
   std::string DescribeLapse(const TaskEntry& aTask,
                             const EndpointEntry* aEndpoint) const;
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
+  void ForgetFinishedWork();
   //! Lets held work start.
   void ReleaseHold(WorkEntry& aEntry,
                    std::string_view aReason,
@@ -205,6 +209,7 @@
   //! Erases answered work without active runs; admits its resubmission if there
   //! is one.
   void EraseIfFinished(const std::string& aWorkId, SchedulerEffects& aEffects);
+  //! The endpoint, which the caller may change.
   EndpointEntry* FindEndpoint(const std::string& aId);
   WorkEntry* FindWork(const std::string& aId);
   //! The task whose current run this is, or nullptr. Sets aEntry to the run's
@@ -257,7 +262,10 @@
   std::optional<TimePoint> dividedAt_; //!< Last change of part_.
   std::uint64_t erasedUpTo_ = 0;
   std::unordered_set<std::string> evacuatedZones_;
-  std::unordered_map<std::string, EndpointEntry> endpoints_;
+  //! Code that changes an endpoint gets it from FindEndpoint, or calls
+  //! usable_.Touch or TouchAll, so that usable_ stays up to date.
+  UsableEndpoints::Map endpoints_;
+  UsableEndpoints usable_;
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
@@ -265,10 +273,7 @@
   TimePoint lastRefusalAt_{};
   Duration lastRefusalSlack_{ 0 };
   std::int64_t lastRefusalCpuMillis_ = 0; //!< Of all its tasks.
-  // Valid during a dispatch.
-  std::vector<EndpointEntry*> usableEndpoints_;
-  double fastestSpeed_ = 0;            //!< Among the usable endpoints.
-  std::int64_t maxFreeCpuMillis_ = -1; //!< Largest on a usable endpoint.
+  double fastestSpeed_ = 0; //!< Among the usable endpoints, at a dispatch.
   AdmissionMargin margin_;
   Dice dice_;
 
@@ -278,13 +283,21 @@
     WorkOutcome outcome = WorkOutcome::Completed;
   };
   std::unordered_map<std::string, FinishedWork> finished_;
+  //! In order of time, so that a tick looks at expired work only. Work that
+  //! finished again later is in it twice.
+  std::deque<std::pair<TimePoint, std::string>> finishedOrder_;
+  std::vector<std::string> tickedWorks_; //!< Keeps its memory between ticks.
   //! Tasks that completed before their work was submitted here, by work id.
   std::unordered_map<std::string, std::vector<TaskKey>> earlyCompletions_;
   TimePoint earlyCompletionsSince_{};
 
 public:
   //! Reads the clock, once per call.
-  void UpdateNow() { now_ = clock_(); }
+  void UpdateNow()
+  {
+    now_ = clock_();
+    usable_.OnCallBegin();
+  }
 };
 
 }
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -183,6 +183,19 @@
   }
 }
 
+void SchedulerState::ForgetFinishedWork()
+{
+  while (!finishedOrder_.empty() &&
+         now_ - finishedOrder_.front().first > policy_.finishedRetention) {
+    const auto entry = finished_.find(finishedOrder_.front().second);
+    if (entry != finished_.end() &&
+        now_ - entry->second.at > policy_.finishedRetention) {
+      finished_.erase(entry);
+    }
+    finishedOrder_.pop_front();
+  }
+}
+
 void SchedulerState::Tick(SchedulerEffects& aEffects)
 {
   const bool wasOutdated = IsViewOutdated();
@@ -200,24 +213,22 @@
       " queued=" + std::to_string(queue_.size());
   }
   RequestNewTerm(aEffects);
-  std::vector<std::string> ids;
   for (auto& [id, endpoint] : endpoints_) {
     TickEndpoint(endpoint, aEffects);
   }
-  ids.reserve(works_.size());
+  usable_.TouchAll();
+  tickedWorks_.resize(works_.size());
+  std::size_t number = 0;
   for (const auto& [id, entry] : works_) {
-    ids.push_back(id);
+    tickedWorks_[number++] = id;
   }
-  for (const std::string& id : ids) {
+  for (const std::string& id : tickedWorks_) {
     if (WorkEntry* entry = FindWork(id)) {
       TickWork(*entry, aEffects);
       EraseIfFinished(id, aEffects);
     }
   }
-  for (auto entry = finished_.begin(); entry != finished_.end();) {
-    const bool isOld = now_ - entry->second.at > policy_.finishedRetention;
-    entry = isOld ? finished_.erase(entry) : std::next(entry);
-  }
+  ForgetFinishedWork();
   if (!earlyCompletions_.empty() &&
       now_ - earlyCompletionsSince_ > kEarlyCompletionRetention) {
     earlyCompletions_.clear();
