Build no text for log lines that the rate limit drops

Cause: a leader logs each decision, of which the rate limit emits 400 lines a second of a kind, after the line had been built. Each decision was also counted under a key of three new strings, and each accepted work looked for its runs at every endpoint.

The limit is asked first. Counters are looked up by views, and the search is left out while no endpoint has runs of unknown work.

--- a/include/hemlockhaven/metrics/DecisionCounters.h
+++ b/include/hemlockhaven/metrics/DecisionCounters.h
@@ -36,18 +36,33 @@
     std::string step;
     std::string outcome;
     std::string reason;
+  };
+
+  using KeyView =
+    std::tuple<std::string_view, std::string_view, std::string_view>;
+
+  //! Also compares with views, so that no key is built for a known counter.
+  struct KeyLess
+  {
+    using is_transparent = void;
+
+    static KeyView View(const Key& aKey)
+    {
+      return { aKey.step, aKey.outcome, aKey.reason };
+    }
+    static const KeyView& View(const KeyView& aKey) { return aKey; }
 
-    friend bool operator<(const Key& aLeft, const Key& aRight)
+    template<typename Left, typename Right>
+    bool operator()(const Left& aLeft, const Right& aRight) const
     {
-      return std::tie(aLeft.step, aLeft.outcome, aLeft.reason) <
-             std::tie(aRight.step, aRight.outcome, aRight.reason);
+      return View(aLeft) < View(aRight);
     }
   };
 
   struct Shard
   {
     mutable std::mutex mutex;
-    std::map<Key, std::uint64_t> counts;
+    std::map<Key, std::uint64_t, KeyLess> counts;
   };
 
   std::array<Shard, 8> shards_;
--- a/src/logging/Log.cpp
+++ b/src/logging/Log.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <ctime>
+#include <optional>
 #include <utility>
 
 namespace hemlockhaven {
@@ -37,6 +38,19 @@
   return limit;
 }
 
+//! The number of lines dropped before this one; nullopt if it is dropped too.
+std::optional<std::uint64_t> Admit(LogLevel aLevel,
+                                   std::string_view aStep,
+                                   std::string_view aMessage)
+{
+  if (aLevel < MinLevel().load()) {
+    return std::nullopt;
+  }
+  std::string key;
+  key.append(aStep).append("\n").append(aMessage);
+  return Limiter().Admit(key, WallNowMs() / 1000);
+}
+
 //! ISO 8601 in UTC: "2026-03-01T09:30:00.125Z".
 std::string TimeText(std::int64_t aMilliseconds)
 {
@@ -81,21 +95,20 @@
 
 void LogLine::Write(std::string_view aMessage)
 {
-  if (level_ < MinLevel().load()) {
-    return;
+  const std::string step = line_["step"].get<std::string>();
+  if (const auto dropped = Admit(level_, step, aMessage)) {
+    Emit(aMessage, *dropped);
   }
+}
+
+void LogLine::Emit(std::string_view aMessage, std::uint64_t aDropped)
+{
   const std::int64_t now = WallNowMs();
-  const std::string key =
-    line_["step"].get<std::string>() + '\n' + std::string(aMessage);
-  const auto dropped = Limiter().Admit(key, now / 1000);
-  if (!dropped) {
-    return;
-  }
   line_["time"] = TimeText(now);
   line_["level"] = kLevelNames.at(static_cast<std::size_t>(level_));
   line_["message"] = aMessage;
-  if (*dropped > 0) {
-    line_["dropped"] = *dropped;
+  if (aDropped > 0) {
+    line_["dropped"] = aDropped;
   }
   const std::string text =
     line_.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -115,6 +128,18 @@
   }
 }
 
+void Log::WriteIfAdmitted(LogLevel aLevel,
+                          std::string_view aStep,
+                          std::string_view aMessage,
+                          const std::function<void(LogLine&)>& aAddFields)
+{
+  if (const auto dropped = Admit(aLevel, aStep, aMessage)) {
+    LogLine line(aLevel, aStep);
+    aAddFields(line);
+    line.Emit(aMessage, *dropped);
+  }
+}
+
 void Log::Start(std::string_view aLevel)
 {
   for (std::size_t i = 0; i < kLevelNames.size(); ++i) {
--- a/src/logging/Log.h
+++ b/src/logging/Log.h
@@ -45,6 +45,11 @@
   void Write(std::string_view aMessage);
 
 private:
+  friend class Log;
+
+  //! Emits the line, which the rate limit has admitted.
+  void Emit(std::string_view aMessage, std::uint64_t aDropped);
+
   LogLevel level_;
   nlohmann::json line_;
 };
@@ -72,6 +77,13 @@
   //! while other threads log.
   static void SetSink(Sink aSink);
 
+  //! Emits a line whose fields aAddFields adds. Nothing is built for a line
+  //! that is not emitted, which at a leader are most lines.
+  static void WriteIfAdmitted(LogLevel aLevel,
+                              std::string_view aStep,
+                              std::string_view aMessage,
+                              const std::function<void(LogLine&)>& aAddFields);
+
   static LogLine Debug(std::string_view aStep)
   {
     return { LogLevel::Debug, aStep };
--- a/src/metrics/DecisionCounters.cpp
+++ b/src/metrics/DecisionCounters.cpp
@@ -1,24 +1,23 @@
 #include "hemlockhaven/metrics/DecisionCounters.h"
 
-#include <utility>
-
 namespace hemlockhaven {
 
 void DecisionCounters::Count(std::string_view aStep,
                              std::string_view aOutcome,
                              std::string_view aReason)
 {
-  Key key{ std::string(aStep), std::string(aOutcome), std::string(aReason) };
   Shard& shard =
     shards_[std::hash<std::string_view>()(aOutcome) % shards_.size()];
   const std::lock_guard<std::mutex> lock(shard.mutex);
-  const auto found = shard.counts.find(key);
+  const auto found = shard.counts.find(KeyView(aStep, aOutcome, aReason));
   if (found != shard.counts.end()) {
     ++found->second;
   } else if (shard.counts.size() < kMaxKeysPerShard) {
-    shard.counts.emplace(std::move(key), 1);
+    shard.counts.emplace(
+      Key{ std::string(aStep), std::string(aOutcome), std::string(aReason) },
+      1);
   } else {
-    ++shard.counts[{ "other", "", "" }];
+    ++shard.counts[Key{ "other", "", "" }];
   }
 }
 
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -401,6 +401,7 @@
       });
     if (!known) {
       orphans.push_back({ run, now_, {} });
+      mayHaveOrphans_ = true;
       if (entry != nullptr) {
         LogSecondRun(*entry, run, aEndpoint, aEffects);
       }
@@ -524,6 +525,10 @@
     }
     earlyCompletions_.erase(earlyCompletion);
   }
+  if (!mayHaveOrphans_) {
+    return;
+  }
+  mayHaveOrphans_ = false;
   for (auto& [id, endpoint] : endpoints_) {
     auto& orphans = endpoint.orphans;
     for (auto orphan = orphans.begin(); orphan != orphans.end();) {
@@ -538,6 +543,7 @@
         ++orphan;
       }
     }
+    mayHaveOrphans_ = mayHaveOrphans_ || !orphans.empty();
   }
 }
 
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -266,6 +266,9 @@
   //! usable_.Touch or TouchAll, so that usable_ stays up to date.
   UsableEndpoints::Map endpoints_;
   UsableEndpoints usable_;
+  //! False only if no endpoint has runs of unknown work, as is usual; all
+  //! accepted work would look for its runs at every endpoint otherwise.
+  bool mayHaveOrphans_ = false;
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
