Guard a connection of the HTTP client by a lock instead of a strand

Cause: each request passed through two handlers of the connection's strand, which allocates and queues them even where one thread runs the context.

Steps of a connection run under its lock, in the thread that the socket's or the caller's event has; the end of a request is reported without the lock.

--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -4,7 +4,7 @@
 #include "net/HttpClient.h"
 #include "net/SocketOptions.h"
 
-#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -49,38 +49,71 @@
   : client_(aClient)
   , address_(std::move(aAddress))
   , maxResponseBytes_(aMaxResponseBytes)
-  , executor_(net::make_strand(aContext.get_executor()))
-  , socket_(executor_)
-  , timer_(executor_)
+  , socket_(aContext.get_executor())
+  , timer_(aContext.get_executor())
   , deadline_(Duration(0), std::nullopt, TimePoint())
 {
 }
 
-void HttpClientConnection::Start(HttpRequest aRequest, HttpCallback aCallback)
+template<typename Step>
+void HttpClientConnection::RunStep(Step&& aStep)
 {
-  currentRequest_ = std::move(aRequest);
-  callback_ = std::move(aCallback);
-  requestBytes_ = EncodeRequest(currentRequest_);
-  net::dispatch(executor_, [self = shared_from_this(), begin = SteadyNow()] {
-    // The timer of an earlier request may read it on the strand.
-    self->deadline_ = TransferDeadline(
-      self->currentRequest_.timeout, self->currentRequest_.stallTimeout, begin);
-    self->Begin();
-  });
+  std::optional<End> end;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!isBusy_) {
+      return; // The request has ended, for example at its deadline.
+    }
+    std::forward<Step>(aStep)();
+    end = std::exchange(end_, std::nullopt);
+  }
+  if (end) {
+    Report(std::move(*end));
+  }
 }
 
-void HttpClientConnection::Begin()
+void HttpClientConnection::Report(End aEnd)
 {
-  isBusy_ = true;
-  written_ = 0;
-  parser_.emplace();
-  parser_->body_limit(maxResponseBytes_);
-  parser_->eager(true); // Parses a response that is buffered whole in one call.
-  ArmTimer();
-  if (connected_) {
-    Write();
+  if (aEnd.isKeptAlive) {
+    client_.OnIdle(shared_from_this());
   } else {
-    Connect();
+    client_.OnClosed(address_, shared_from_this());
+  }
+  if (aEnd.callback) {
+    aEnd.callback(std::move(aEnd.result));
+  }
+}
+
+void HttpClientConnection::Start(HttpRequest aRequest, HttpCallback aCallback)
+{
+  std::optional<End> end;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    currentRequest_ = std::move(aRequest);
+    callback_ = std::move(aCallback);
+    requestBytes_ = EncodeRequest(currentRequest_);
+    deadline_ = TransferDeadline(
+      currentRequest_.timeout, currentRequest_.stallTimeout, SteadyNow());
+    isBusy_ = true;
+    written_ = 0;
+    parser_.emplace();
+    parser_->body_limit(maxResponseBytes_);
+    // Parses a response that is buffered whole in one call.
+    parser_->eager(true);
+    ArmTimer();
+    if (connected_) {
+      Write();
+    } else {
+      Connect();
+    }
+    end = std::exchange(end_, std::nullopt);
+  }
+  if (end) {
+    // Callbacks run on a thread of the I/O context.
+    net::post(socket_.get_executor(),
+              [self = shared_from_this(), end = std::move(*end)]() mutable {
+                self->Report(std::move(end));
+              });
   }
 }
 
@@ -93,20 +126,18 @@
   }
   socket_.async_connect(
     *endpoint, [self = shared_from_this()](const beast::error_code& aError) {
-      if (!self->isBusy_) {
-        return; // The deadline has passed.
-      }
-      beast::error_code error = aError;
-      if (!error) {
-        SetSocketOptions(self->socket_.native_handle());
-        self->socket_.non_blocking(true, error);
-      }
-      if (error) {
-        self->Fail(HttpOutcome::NotSent, error.message());
-        return;
-      }
-      self->connected_ = true;
-      self->Write();
+      self->RunStep([&self, error = aError]() mutable {
+        if (!error) {
+          SetSocketOptions(self->socket_.native_handle());
+          self->socket_.non_blocking(true, error);
+        }
+        if (error) {
+          self->Fail(HttpOutcome::NotSent, error.message());
+          return;
+        }
+        self->connected_ = true;
+        self->Write();
+      });
     });
 }
 
@@ -120,14 +151,13 @@
     socket_.async_wait(
       Socket::wait_write,
       [self = shared_from_this()](const beast::error_code& aError) {
-        if (!self->isBusy_) {
-          return;
-        }
-        if (aError) {
-          self->Fail(HttpOutcome::Unknown, aError.message());
-        } else {
-          self->Write();
-        }
+        self->RunStep([&self, &aError] {
+          if (aError) {
+            self->Fail(HttpOutcome::Unknown, aError.message());
+          } else {
+            self->Write();
+          }
+        });
       });
     return;
   }
@@ -158,16 +188,18 @@
 
 void HttpClientConnection::OnTimer()
 {
-  timerExpiresAt_.reset();
-  if (!isBusy_) {
-    return;
-  }
-  if (SteadyNow() >= deadline_.At()) {
-    Fail(connected_ ? HttpOutcome::Unknown : HttpOutcome::NotSent,
-         beast::error_code(beast::error::timeout).message());
-  } else {
-    ArmTimer();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    timerExpiresAt_.reset();
   }
+  RunStep([this] {
+    if (SteadyNow() >= deadline_.At()) {
+      Fail(connected_ ? HttpOutcome::Unknown : HttpOutcome::NotSent,
+           beast::error_code(beast::error::timeout).message());
+    } else {
+      ArmTimer();
+    }
+  });
 }
 
 void HttpClientConnection::WaitForData()
@@ -175,14 +207,13 @@
   socket_.async_wait(
     Socket::wait_read,
     [self = shared_from_this()](const beast::error_code& aError) {
-      if (!self->isBusy_) {
-        return;
-      }
-      if (aError) {
-        self->Fail(HttpOutcome::Unknown, aError.message());
-      } else {
-        self->ReadAvailable();
-      }
+      self->RunStep([&self, &aError] {
+        if (aError) {
+          self->Fail(HttpOutcome::Unknown, aError.message());
+        } else {
+          self->ReadAvailable();
+        }
+      });
     });
 }
 
@@ -262,19 +293,15 @@
 
 void HttpClientConnection::Finish(HttpResult aResult, bool aKeepAlive)
 {
-  const HttpCallback callback = std::exchange(callback_, nullptr);
   requestBytes_.clear();
   isBusy_ = false;
   if (aKeepAlive) {
     idleSince_ = SteadyNow();
-    client_.OnIdle(shared_from_this());
   } else {
-    Close();
-    client_.OnClosed(address_, shared_from_this());
-  }
-  if (callback) {
-    callback(std::move(aResult));
+    CloseSocket();
   }
+  end_ =
+    End{ std::exchange(callback_, nullptr), std::move(aResult), aKeepAlive };
 }
 
 bool HttpClientConnection::IsStale()
@@ -287,13 +314,17 @@
 }
 
 void HttpClientConnection::Close()
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  CloseSocket();
+}
+
+void HttpClientConnection::CloseSocket()
 {
   beast::error_code ignored; // The connection is abandoned anyway.
   socket_.close(ignored);
+  timer_.cancel();
   connected_ = false;
-  // Other threads close idle connections.
-  net::dispatch(executor_,
-                [self = shared_from_this()] { self->timer_.cancel(); });
 }
 
 }
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -8,7 +8,6 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/strand.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,6 +16,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -30,8 +30,8 @@
 //!
 //! A leader sends several requests for each task, so that the cost of one
 //! counts: bytes are written and read directly when the socket is ready, the
-//! executor is not type-erased, and the timer is left running from one request
-//! to the next.
+//! executor is not type-erased, a lock takes the place of a strand, and the
+//! timer is left running from one request to the next.
 class HttpClientConnection
   : public std::enable_shared_from_this<HttpClientConnection>
 {
@@ -53,7 +53,7 @@
 
 private:
   using Body = boost::beast::http::string_body;
-  using Executor = boost::asio::strand<boost::asio::io_context::executor_type>;
+  using Executor = boost::asio::io_context::executor_type;
   using Socket =
     boost::asio::basic_stream_socket<boost::asio::ip::tcp, Executor>;
   using Timer = boost::asio::basic_waitable_timer<
@@ -61,7 +61,21 @@
     boost::asio::wait_traits<std::chrono::steady_clock>,
     Executor>;
 
-  void Begin();
+  //! The end of a request, which is reported without the lock.
+  struct End
+  {
+    HttpCallback callback;
+    HttpResult result;
+    bool isKeptAlive = false;
+  };
+
+  //! Runs a step under the lock, and reports the end of the request if the step
+  //! ended it.
+  template<typename Step>
+  void RunStep(Step&& aStep);
+  void Report(End aEnd);
+
+  // The following are called under the lock.
   void Connect();
   //! Writes what the socket takes at once; waits for the rest.
   void Write();
@@ -75,12 +89,13 @@
   void OnEndOfStream();
   void OnResponse();
   void Finish(HttpResult aResult, bool aKeepAlive);
+  void CloseSocket();
   void Fail(HttpOutcome aOutcome, std::string aDetail);
 
   HttpClient& client_;
   const std::string address_;
   const std::size_t maxResponseBytes_;
-  Executor executor_;
+  std::mutex mutex_; //!< Guards what follows, except of an idle connection.
   Socket socket_;
   Timer timer_;
   std::optional<TimePoint> timerExpiresAt_; //!< While it runs.
@@ -92,7 +107,8 @@
   HttpRequest currentRequest_;
   HttpCallback callback_;
   bool connected_ = false;
-  bool isBusy_ = false; //!< From Begin to Finish.
+  bool isBusy_ = false;    //!< From Start to Finish.
+  std::optional<End> end_; //!< Not reported yet.
   TimePoint idleSince_{};
 };
 
