--- a/bench/leader/main.cpp
+++ b/bench/leader/main.cpp
@@ -203,7 +203,7 @@
                                        decision.endpoint,
                                        decision.outcome,
                                        decision.detail,
-                                       std::string(decision.inputs) }) {
+                                       decision.inputs.Text() }) {
         digest_.Add(text);
       }
     }
--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -4,8 +4,12 @@
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/scheduler/Work.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hemlockhaven {
@@ -66,6 +70,42 @@
   Duration waited{ 0 };     //!< From arrival to the first start.
 };
 
+//! What a decision was based on, "name=value ...". Numbers become text only
+//! when the line is written, which most lines of a leader are not.
+class DecisionInputs
+{
+public:
+  DecisionInputs() = default;
+  // Implicit, so that a text can be assigned.
+  DecisionInputs(std::string aText)
+    : text_(std::move(aText))
+  {
+  }
+
+  //! aName must outlive the object.
+  DecisionInputs& Add(const char* aName, std::int64_t aValue);
+
+  bool empty() const { return text_.empty() && count_ == 0; }
+  std::string Text() const;
+
+  friend std::ostream& operator<<(std::ostream& aStream,
+                                  const DecisionInputs& aInputs)
+  {
+    return aStream << aInputs.Text();
+  }
+
+private:
+  struct Number
+  {
+    const char* name;
+    std::int64_t value;
+  };
+
+  std::string text_; //!< Before the numbers.
+  std::array<Number, 8> numbers_{};
+  std::size_t count_ = 0;
+};
+
 //! A decision for the log: one line of bounded length.
 struct Decision
 {
@@ -75,7 +115,7 @@
   std::string outcome;
   //! The reason; one of a few texts, as metrics count by it.
   std::string detail;
-  std::string inputs;     //!< What the decision was based on, "name=value ...".
+  DecisionInputs inputs;
   Duration inputAge{ 0 }; //!< Age of the endpoint's last reply.
 };
 
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -230,18 +230,20 @@
   return verdict;
 }
 
-std::string SchedulerState::DescribeInputs(const WorkEntry& aEntry) const
+DecisionInputs SchedulerState::DescribeInputs(const WorkEntry& aEntry) const
 {
   const auto milliseconds = [](Duration aDuration) {
-    return std::to_string(aDuration.count() / 1000);
+    return aDuration.count() / 1000;
   };
-  return "tasks=" + std::to_string(aEntry.Tasks().size()) +
-         " predictedMs=" + milliseconds(PredictTask(aEntry, 0)) +
-         " allowedMs=" + milliseconds(aEntry.LatestEnd() - now_) +
-         " ageMs=" + milliseconds(now_ - aEntry.SentAt()) +
-         " queued=" + std::to_string(queue_.size()) +
-         " doubtMs=" + milliseconds(margin_.Value(now_)) +
-         " submissions=" + std::to_string(aEntry.Spec().submissions);
+  DecisionInputs inputs;
+  inputs.Add("tasks", static_cast<std::int64_t>(aEntry.Tasks().size()))
+    .Add("predictedMs", milliseconds(PredictTask(aEntry, 0)))
+    .Add("allowedMs", milliseconds(aEntry.LatestEnd() - now_))
+    .Add("ageMs", milliseconds(now_ - aEntry.SentAt()))
+    .Add("queued", static_cast<std::int64_t>(queue_.size()))
+    .Add("doubtMs", milliseconds(margin_.Value(now_)))
+    .Add("submissions", aEntry.Spec().submissions);
+  return inputs;
 }
 
 void SchedulerState::HoldWork(WorkEntry& aEntry, SchedulerEffects& aEffects)
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -169,13 +169,13 @@
   aEntry.MarkStarted(now_);
 
   LogDecision(aEffects, "place", aEntry.Spec().id, &aEndpoint, "sent");
-  aEffects.decisions.back().inputs =
-    "step=" + std::to_string(aTask.step) +
-    " index=" + std::to_string(aTask.index) +
-    " run=" + std::to_string(aTask.run) +
-    " freeCpuMillis=" + std::to_string(aEndpoint.free.cpuMillis) +
-    " submissions=" + std::to_string(aEntry.Spec().submissions) +
-    " sinceTickMs=" + std::to_string((now_ - lastTickAt_).count() / 1000);
+  aEffects.decisions.back()
+    .inputs.Add("step", aTask.step)
+    .Add("index", aTask.index)
+    .Add("run", aTask.run)
+    .Add("freeCpuMillis", aEndpoint.free.cpuMillis)
+    .Add("submissions", aEntry.Spec().submissions)
+    .Add("sinceTickMs", (now_ - lastTickAt_).count() / 1000);
 
   StartCommand command;
   command.target = TargetOf(aEndpoint);
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -89,7 +89,7 @@
   //! was refused just before.
   bool ResemblesLastRefusal(const WorkEntry& aEntry) const;
   //! For the log.
-  std::string DescribeInputs(const WorkEntry& aEntry) const;
+  DecisionInputs DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
   //! Holds work whose tasks another leader may have started since it was known
   //! here.
