--- a/src/scheduler/RunTimeModel.cpp
+++ b/src/scheduler/RunTimeModel.cpp
@@ -23,7 +23,7 @@
 
 Duration RunTimeModel::Predict(std::string_view aKind, Duration aEstimate) const
 {
-  const auto found = kinds_.find(std::string(aKind));
+  const auto found = kinds_.find(aKind);
   if (found == kinds_.end()) {
     return aEstimate;
   }
@@ -60,14 +60,10 @@
   }
 }
 
-double EndpointSpeed::Value() const
-{
-  return std::exp(logSpeed_);
-}
-
 void EndpointSpeed::Rescale(double aFactor)
 {
   logSpeed_ -= std::log(aFactor);
+  value_ = std::exp(logSpeed_);
 }
 
 void EndpointSpeed::Learn(Duration aRunTime, Duration aMeasured)
@@ -79,6 +75,7 @@
   const double weight =
     std::max(kSampleWeight, 1.0 / static_cast<double>(sampleCount_ + 1));
   logSpeed_ += weight * logError;
+  value_ = std::exp(logSpeed_);
 }
 
 }
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -3,6 +3,8 @@
 #include "scheduler/SchedulerState.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace hemlockhaven::Detail {
 
@@ -43,7 +45,7 @@
   CollectUsableEndpoints();
   racks_.emplace(
     now_,
-    [this] { return Span<EndpointEntry* const>(usableEndpoints_); },
+    [this] { return usable_.WithFreeCpu(0); },
     [this](Forecast& aForecast, const EndpointEntry& aEndpoint) {
       std::vector<ResourceRelease> releases;
       AddToForecast(aForecast, aEndpoint, true, releases);
@@ -57,24 +59,19 @@
 
 void SchedulerState::CollectUsableEndpoints()
 {
-  usableEndpoints_.clear();
-  fastestSpeed_ = 0;
-  for (auto& [id, endpoint] : endpoints_) {
-    if (endpoint.IsUsable(now_, policy_.responseTimeout)) {
-      endpoint.isRackWanted =
-        !wantedRacks_.empty() && wantedRacks_.count(endpoint.listed.rack) > 0;
-      usableEndpoints_.push_back(&endpoint);
-      fastestSpeed_ = std::max(fastestSpeed_, endpoint.speed.Value());
-    }
-  }
-  UpdateMaxFreeCpu();
+  usable_.Update(now_, policy_.responseTimeout);
+  fastestSpeed_ = usable_.FastestSpeed();
+  MarkWantedRacks();
 }
 
-void SchedulerState::UpdateMaxFreeCpu()
+void SchedulerState::MarkWantedRacks()
 {
-  maxFreeCpuMillis_ = -1;
-  for (const EndpointEntry* endpoint : usableEndpoints_) {
-    maxFreeCpuMillis_ = std::max(maxFreeCpuMillis_, endpoint->free.cpuMillis);
+  if (wantedRacks_.empty() && !areRacksMarked_) {
+    return;
+  }
+  areRacksMarked_ = !wantedRacks_.empty();
+  for (auto& [id, endpoint] : endpoints_) {
+    endpoint.isRackWanted = wantedRacks_.count(endpoint.listed.rack) > 0;
   }
 }
 
@@ -83,15 +80,33 @@
   for (auto entry = queue_.begin(); entry != queue_.end();) {
     WorkEntry& work = *entry->second;
     bool hasWaiting = work.heldUntil.has_value();
+    // Tasks of a step differ in the endpoint that they avoid only: after one
+    // that found no place, the same search for the next would find none.
+    const TaskEntry* unplaced = nullptr;
+    std::optional<std::pair<std::uint32_t, bool>> lateness; //!< Of one step.
     for (TaskEntry& task : work.Tasks()) {
       if (task.phase != TaskPhase::Waiting || work.heldUntil) {
         continue;
       }
+      // Each of them takes another turn at its rack.
+      const bool prefersRack =
+        !work.PreferredRack(task.step).empty() || work.StepOf(task).sameRack;
+      const bool isHopeless = unplaced != nullptr &&
+                              unplaced->step == task.step &&
+                              unplaced->avoidedEndpoint == task.avoidedEndpoint;
+      if (isHopeless ||
+          work.StepOf(task).taskResources.cpuMillis > usable_.MaxFreeCpu() ||
+          !work.IsStepReady(task.step)) {
+        hasWaiting = true;
+        continue;
+      }
+      if (!lateness || lateness->first != task.step) {
+        lateness.emplace(task.step, IsLate(work, task));
+      }
       const bool started =
-        work.StepOf(task).taskResources.cpuMillis <= maxFreeCpuMillis_ &&
-        work.IsStepReady(task.step) &&
-        (IsLate(work, task) || (aLate && task.isLateNearAndAway)) == aLate &&
+        (lateness->second || (aLate && task.isLateNearAndAway)) == aLate &&
         DispatchTask(work, task, aLate, aEffects);
+      unplaced = started || prefersRack ? nullptr : &task;
       hasWaiting = hasWaiting || !started;
     }
     entry = hasWaiting ? std::next(entry) : queue_.erase(entry);
@@ -125,13 +140,14 @@
                                        const TaskEntry& aTask,
                                        std::string_view aRack,
                                        TaskCandidates& aNear,
-                                       TaskCandidates& aAway) const
+                                       TaskCandidates& aAway)
 {
   const WorkStep& step = aEntry.StepOf(aTask);
   const double remoteFactor =
     aRack.empty() && !aEntry.IsSpread(aTask.step) ? 1 : remoteFactor_.Value();
   const auto collect = [&](bool aAvoid) {
-    for (EndpointEntry* usable : usableEndpoints_) {
+    for (EndpointEntry* usable :
+         usable_.WithFreeCpu(step.taskResources.cpuMillis)) {
       EndpointEntry& endpoint = *usable;
       const std::string& id = endpoint.listed.id;
       if (!step.taskResources.FitsInto(endpoint.free) ||
@@ -227,11 +243,8 @@
     aEndpoint.lease.DeadlineIn(policy_.startValidity, now_).value_or(0);
   aEndpoint.lease.Extend(deadline);
   aEndpoint.Occupy(aEntry, aTask);
-  if (!aEndpoint.IsUsable(now_, policy_.responseTimeout)) {
-    // On probation an endpoint gets one run at a time.
-    usableEndpoints_.erase(
-      std::find(usableEndpoints_.begin(), usableEndpoints_.end(), &aEndpoint));
-  }
+  // On probation an endpoint gets one run at a time.
+  usable_.Refresh(aEndpoint, now_, policy_.responseTimeout);
   // The reply to the start is followed by a poll; without a reply, this is.
   aEndpoint.nextPollAt =
     std::min(aEndpoint.nextPollAt, now_ + policy_.pollRetryDelay);
@@ -251,13 +264,13 @@
               &aEndpoint,
               "sent",
               Describe(aTask.locality));
-  aEffects.decisions.back().inputs =
-    "step=" + std::to_string(aTask.step) +
-    " index=" + std::to_string(aTask.index) +
-    " run=" + std::to_string(aTask.run) +
-    " freeCpuMillis=" + std::to_string(aEndpoint.free.cpuMillis) +
-    " submissions=" + std::to_string(aEntry.Spec().submissions) +
-    " sinceTickMs=" + std::to_string((now_ - lastTickAt_).count() / 1000);
+  aEffects.decisions.back()
+    .inputs.Add("step", aTask.step)
+    .Add("index", aTask.index)
+    .Add("run", aTask.run)
+    .Add("freeCpuMillis", aEndpoint.free.cpuMillis)
+    .Add("submissions", aEntry.Spec().submissions)
+    .Add("sinceTickMs", (now_ - lastTickAt_).count() / 1000);
 
   StartCommand command;
   command.target = TargetOf(aEndpoint);
@@ -265,7 +278,6 @@
   command.payload = aEntry.Spec().payload;
   command.deadlineClockMs = deadline;
   aEffects.starts.push_back(std::move(command));
-  UpdateMaxFreeCpu();
 }
 
 }
--- a/src/scheduler/SchedulerNearWait.cpp
+++ b/src/scheduler/SchedulerNearWait.cpp
@@ -175,7 +175,7 @@
   const WorkEntry& aEntry,
   const TaskEntry& aTask,
   const PlacementDemand& aDemand,
-  std::size_t aCount) const
+  std::size_t aCount)
 {
   TaskCandidates candidates;
   CollectCandidates(aEntry, aTask, {}, candidates, candidates);
--- a/src/scheduler/SchedulerRuns.cpp
+++ b/src/scheduler/SchedulerRuns.cpp
@@ -394,6 +394,7 @@
       });
     if (!known) {
       orphans.push_back({ run, now_, {} });
+      mayHaveOrphans_ = true;
       if (entry != nullptr) {
         LogSecondRun(*entry, run, aEndpoint, aEffects);
       }
@@ -500,6 +501,7 @@
   aTask.locality = TaskLocality::NoPreference;
   aTask.expectedEnd = now_ + PredictTask(aEntry, aTask.step);
   aEndpoint.Occupy(aEntry, aTask);
+  usable_.Touch(aEndpoint);
   aEntry.MarkStarted(now_);
   LogDecision(aEffects, "run", aEntry.Spec().id, &aEndpoint, "adopted");
 }
@@ -518,6 +520,10 @@
     }
     earlyCompletions_.erase(earlyCompletion);
   }
+  if (!mayHaveOrphans_) {
+    return;
+  }
+  mayHaveOrphans_ = false;
   for (auto& [id, endpoint] : endpoints_) {
     auto& orphans = endpoint.orphans;
     for (auto orphan = orphans.begin(); orphan != orphans.end();) {
@@ -532,6 +538,7 @@
         ++orphan;
       }
     }
+    mayHaveOrphans_ = mayHaveOrphans_ || !orphans.empty();
   }
 }
 
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -8,8 +8,10 @@
 #include "hemlockhaven/scheduler/Scheduler.h"
 #include "scheduler/EndpointEntry.h"
 #include "scheduler/RackOccupancy.h"
+#include "scheduler/UsableEndpoints.h"
 #include "scheduler/WorkEntry.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,6 +65,8 @@
   void SetEntryVmContacts(Span<const EntryVmContact> aContacts);
   void Tick(SchedulerEffects& aEffects);
   SchedulerLoad Load() const;
+  const UsableEndpoints& Usable() const { return usable_; }
+  const UsableEndpoints::Map& Endpoints() const { return endpoints_; }
 
 private:
   using WorkMap = std::unordered_map<std::string, std::unique_ptr<WorkEntry>>;
@@ -95,7 +99,7 @@
   //! was refused just before.
   bool ResemblesLastRefusal(const WorkEntry& aEntry) const;
   //! For the log.
-  std::string DescribeInputs(const WorkEntry& aEntry) const;
+  DecisionInputs DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
   //! Holds work whose tasks another leader may have started since it was known
   //! here.
@@ -119,7 +123,8 @@
   //! Whether the task would end late even on the fastest endpoint.
   bool IsLate(const WorkEntry& aEntry, const TaskEntry& aTask) const;
   void CollectUsableEndpoints();
-  void UpdateMaxFreeCpu();
+  //! Marks the endpoints of racks that tasks wait for.
+  void MarkWantedRacks();
   bool DispatchTask(WorkEntry& aEntry,
                     TaskEntry& aTask,
                     bool aLate,
@@ -137,7 +142,7 @@
                          const TaskEntry& aTask,
                          std::string_view aRack,
                          TaskCandidates& aNear,
-                         TaskCandidates& aAway) const;
+                         TaskCandidates& aAway);
   //! Starts the task on the chosen candidate.
   void StartOn(WorkEntry& aEntry,
                TaskEntry& aTask,
@@ -160,7 +165,7 @@
   std::optional<ExpectedRun> SpreadRun(const WorkEntry& aEntry,
                                        const TaskEntry& aTask,
                                        const PlacementDemand& aDemand,
-                                       std::size_t aCount) const;
+                                       std::size_t aCount);
   void BeginNearWait(const WorkEntry& aEntry,
                      TaskEntry& aTask,
                      const NearWaitInputs& aInputs,
@@ -232,6 +237,7 @@
   std::string DescribeLapse(const TaskEntry& aTask,
                             const EndpointEntry* aEndpoint) const;
   void TickWork(WorkEntry& aEntry, SchedulerEffects& aEffects);
+  void ForgetFinishedWork();
   //! Lets held work start.
   void ReleaseHold(WorkEntry& aEntry,
                    std::string_view aReason,
@@ -266,6 +272,7 @@
   //! Erases answered work without active runs; admits its resubmission if there
   //! is one.
   void EraseIfFinished(const std::string& aWorkId, SchedulerEffects& aEffects);
+  //! The endpoint, which the caller may change.
   EndpointEntry* FindEndpoint(const std::string& aId);
   WorkEntry* FindWork(const std::string& aId);
   //! The task whose current run this is, or nullptr. Sets aEntry to the run's
@@ -322,7 +329,13 @@
   std::optional<TimePoint> dividedAt_; //!< Last change of part_.
   std::uint64_t erasedUpTo_ = 0;
   std::unordered_set<std::string> evacuatedZones_;
-  std::unordered_map<std::string, EndpointEntry> endpoints_;
+  //! Code that changes an endpoint gets it from FindEndpoint, or calls
+  //! usable_.Touch or TouchAll, so that usable_ stays up to date.
+  UsableEndpoints::Map endpoints_;
+  UsableEndpoints usable_;
+  //! False only if no endpoint has runs of unknown work, as is usual; all
+  //! accepted work would look for its runs at every endpoint otherwise.
+  bool mayHaveOrphans_ = false;
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
@@ -338,13 +351,11 @@
   Duration lastRefusalSlack_{ 0 };
   std::int64_t lastRefusalCpuMillis_ = 0; //!< Of all its tasks.
   std::string lastRefusalRack_;           //!< That it preferred.
-  // Valid during a dispatch.
-  std::vector<EndpointEntry*> usableEndpoints_;
-  double fastestSpeed_ = 0;            //!< Among the usable endpoints.
-  std::int64_t maxFreeCpuMillis_ = -1; //!< Largest on a usable endpoint.
-  std::optional<RackOccupancy> racks_;
+  double fastestSpeed_ = 0; //!< Among the usable endpoints, at a dispatch.
+  std::optional<RackOccupancy> racks_; //!< During a dispatch.
   //! Racks that tasks waited for after the last dispatch.
   std::set<std::string, std::less<>> wantedRacks_;
+  bool areRacksMarked_ = false; //!< Some endpoint is of a wanted rack.
   AdmissionMargin margin_;
   Dice dice_;
 
@@ -354,13 +365,21 @@
     WorkOutcome outcome = WorkOutcome::Completed;
   };
   std::unordered_map<std::string, FinishedWork> finished_;
+  //! In order of time, so that a tick looks at expired work only. Work that
+  //! finished again later is in it twice.
+  std::deque<std::pair<TimePoint, std::string>> finishedOrder_;
+  std::vector<std::string> tickedWorks_; //!< Keeps its memory between ticks.
   //! Tasks that completed before their work was submitted here, by work id.
   std::unordered_map<std::string, std::vector<TaskKey>> earlyCompletions_;
   TimePoint earlyCompletionsSince_{};
 
 public:
   //! Reads the clock, once per call.
-  void UpdateNow() { now_ = clock_(); }
+  void UpdateNow()
+  {
+    now_ = clock_();
+    usable_.OnCallBegin();
+  }
 };
 
 }
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -217,6 +217,20 @@
       endpoint.speed.Rescale(mean);
     }
   }
+  usable_.TouchAll();
+}
+
+void SchedulerState::ForgetFinishedWork()
+{
+  while (!finishedOrder_.empty() &&
+         now_ - finishedOrder_.front().first > policy_.finishedRetention) {
+    const auto entry = finished_.find(finishedOrder_.front().second);
+    if (entry != finished_.end() &&
+        now_ - entry->second.at > policy_.finishedRetention) {
+      finished_.erase(entry);
+    }
+    finishedOrder_.pop_front();
+  }
 }
 
 void SchedulerState::Tick(SchedulerEffects& aEffects)
@@ -237,24 +251,22 @@
   }
   RequestNewTerm(aEffects);
   NormalizeSpeeds();
-  std::vector<std::string> ids;
   for (auto& [id, endpoint] : endpoints_) {
     TickEndpoint(endpoint, aEffects);
   }
-  ids.reserve(works_.size());
+  usable_.TouchAll();
+  tickedWorks_.resize(works_.size());
+  std::size_t number = 0;
   for (const auto& [id, entry] : works_) {
-    ids.push_back(id);
+    tickedWorks_[number++] = id;
   }
-  for (const std::string& id : ids) {
+  for (const std::string& id : tickedWorks_) {
     if (WorkEntry* entry = FindWork(id)) {
       TickWork(*entry, aEffects);
       EraseIfFinished(id, aEffects);
     }
   }
-  for (auto entry = finished_.begin(); entry != finished_.end();) {
-    const bool isOld = now_ - entry->second.at > policy_.finishedRetention;
-    entry = isOld ? finished_.erase(entry) : std::next(entry);
-  }
+  ForgetFinishedWork();
   if (!earlyCompletions_.empty() &&
       now_ - earlyCompletionsSince_ > kEarlyCompletionRetention) {
     earlyCompletions_.clear();
