--- a/tests/system/Process.h
+++ b/tests/system/Process.h
@@ -23,6 +23,9 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
+  //! The process id; -1 once the end was waited for.
+  pid_t Id() const { return id_; }
+
   //! Sends a signal, for example SIGKILL, SIGSTOP or SIGTERM.
   void Signal(int aSignal) const;
 
--- a/tests/system/TestFleet.cpp
+++ b/tests/system/TestFleet.cpp
@@ -9,7 +9,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -35,23 +34,6 @@
   return { StatusIn(reply), json::parse(BodyIn(reply), nullptr, false) };
 }
 
-//! Free ports that differ from each other.
-class PortPicker
-{
-public:
-  std::uint16_t Pick()
-  {
-    std::uint16_t port = FreePort();
-    while (!picked_.insert(port).second) {
-      port = FreePort();
-    }
-    return port;
-  }
-
-private:
-  std::set<std::uint16_t> picked_;
-};
-
 //! Writes a file that readers see whole or not at all.
 void WriteWhole(const std::string& aPath, const json& aContent)
 {
@@ -89,6 +71,15 @@
          body["error"].contains("retryAfterMs");
 }
 
+std::uint16_t PortPicker::Pick()
+{
+  std::uint16_t port = FreePort();
+  while (!picked_.insert(port).second) {
+    port = FreePort();
+  }
+  return port;
+}
+
 bool WaitUntil(const std::function<bool()>& aCondition)
 {
   const auto end = std::chrono::steady_clock::now() + kConditionLimit;
--- a/tests/system/TestFleet.h
+++ b/tests/system/TestFleet.h
@@ -10,12 +10,23 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace hemlockhaven::Testing {
 
+//! Free ports that differ from each other.
+class PortPicker
+{
+public:
+  std::uint16_t Pick();
+
+private:
+  std::set<std::uint16_t> picked_;
+};
+
 //! A reply over HTTP. Status 0: the connection closed without a whole reply;
 //! -1: neither a whole reply nor an end came.
 struct FleetReply
