Add a budget for the memory of all connections of a process

Cause: each connection has limits of its own, but thousands of them have no common bound, so that unfinished bodies take more than the smallest machines have.

ConnectionMemory records the phase and the bytes of each connection and chooses which one gives way: to the budget the largest unfinished request, among equals the slowest, then replies that are not read; to a new connection of a full listener a refused client, then the slowest unfinished request.

--- /dev/null
+++ b/src/net/ConnectionMemory.cpp
@@ -0,0 +1,201 @@
+#include "net/ConnectionMemory.h"
+
+#include <tuple>
+#include <utility>
+
+namespace hemlockhaven {
+
+namespace {
+
+//! Requests up to the usual limit of a header count as equally large, so that
+//! the slowest of them gives way and not the one that has just arrived.
+constexpr std::size_t kSmallBytes = 32768;
+
+//! A client has 3 s for its header. One that has not sent a byte for longer
+//! than this may give way to a new connection.
+constexpr Duration kMaxSilence{ 4000000 };
+
+//! Doubles from class to class.
+unsigned SizeClass(std::size_t aBytes)
+{
+  unsigned sizeClass = 0;
+  for (std::size_t limit = kSmallBytes; limit < aBytes && limit != 0;
+       limit *= 2) {
+    ++sizeClass;
+  }
+  return sizeClass;
+}
+
+}
+
+ConnectionMemory::ConnectionMemory(std::size_t aBudgetBytes)
+  : budget_(aBudgetBytes)
+{
+}
+
+ConnectionMemory::Shard& ConnectionMemory::ShardOf(ConnectionId aId)
+{
+  return shards_[aId % shards_.size()];
+}
+
+bool ConnectionMemory::IsOverBudget() const
+{
+  const std::size_t yielding = yielding_;
+  const std::size_t charged = charged_;
+  return charged > yielding && charged - yielding > budget_;
+}
+
+ConnectionMemory::ConnectionId ConnectionMemory::Open(ListenerId aListener,
+                                                      TimePoint aNow,
+                                                      GiveWayHook aHook)
+{
+  const ConnectionId id = ++lastId_;
+  Connection connection;
+  connection.listener = aListener;
+  connection.since = aNow;
+  connection.hook = std::move(aHook);
+  Shard& shard = ShardOf(id);
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  shard.connections.emplace(id, std::move(connection));
+  return id;
+}
+
+void ConnectionMemory::Close(ConnectionId aId)
+{
+  GiveWayHook hook; // Destroyed after the lock is released.
+  Shard& shard = ShardOf(aId);
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  const auto found = shard.connections.find(aId);
+  if (found == shard.connections.end()) {
+    return;
+  }
+  Connection& connection = found->second;
+  charged_ -= connection.bytes;
+  yielding_ -= connection.yields ? connection.bytes : 0;
+  hook = std::move(connection.hook);
+  shard.connections.erase(found);
+}
+
+bool ConnectionMemory::Update(ConnectionId aId,
+                              ConnectionPhase aPhase,
+                              std::size_t aBytes,
+                              TimePoint aNow)
+{
+  const bool receives = aPhase == ConnectionPhase::Receiving;
+  {
+    Shard& shard = ShardOf(aId);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    const auto found = shard.connections.find(aId);
+    if (found == shard.connections.end()) {
+      return false;
+    }
+    Connection& connection = found->second;
+    if (connection.yields && receives) {
+      return false;
+    }
+    yielding_ -= connection.yields ? connection.bytes : 0;
+    connection.yields = false;
+    charged_ += aBytes - connection.bytes; // May wrap around; the sum does not.
+    const bool grows = aBytes > connection.bytes;
+    connection.bytes = aBytes;
+    if (connection.phase != aPhase) {
+      connection.phase = aPhase;
+      connection.since = aNow;
+    }
+    if (!grows) {
+      return true;
+    }
+  }
+  while (IsOverBudget()) {
+    const auto candidate = Choose(
+      [aId, receives](ConnectionId aOther, const Connection& aConnection) {
+        if (aConnection.phase == ConnectionPhase::Receiving) {
+          return 2U;
+        }
+        const bool isUnread = aConnection.phase == ConnectionPhase::Answering;
+        // A request that is not complete gives way before any reply does.
+        return isUnread && aOther != aId && !receives ? 1U : 0U;
+      });
+    if (!candidate) {
+      return !receives;
+    }
+    if (candidate->id == aId) {
+      return false;
+    }
+    Yield(*candidate, GiveWayCause::BudgetExhausted);
+  }
+  return true;
+}
+
+bool ConnectionMemory::MakeRoom(ListenerId aListener, TimePoint aNow)
+{
+  const auto candidate =
+    Choose([aListener, aNow](ConnectionId, const Connection& aConnection) {
+      if (aConnection.listener != aListener) {
+        return 0U;
+      }
+      switch (aConnection.phase) {
+        case ConnectionPhase::Discarding:
+          return 3U;
+        case ConnectionPhase::Receiving:
+          return 2U;
+        case ConnectionPhase::Silent:
+          return aNow - aConnection.since > kMaxSilence ? 1U : 0U;
+        default:
+          return 0U;
+      }
+    });
+  if (candidate) {
+    Yield(*candidate, GiveWayCause::ListenerFull);
+  }
+  return candidate.has_value();
+}
+
+std::optional<ConnectionMemory::Candidate> ConnectionMemory::Choose(
+  const RankHook& aRank) const
+{
+  std::optional<Candidate> best;
+  for (const Shard& shard : shards_) {
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    for (const auto& [id, connection] : shard.connections) {
+      const unsigned rank = connection.yields ? 0 : aRank(id, connection);
+      if (rank == 0) {
+        continue;
+      }
+      const Candidate candidate{ id,
+                                 rank,
+                                 SizeClass(connection.bytes),
+                                 connection.since,
+                                 connection.phase };
+      // Ids increase, so that they decide in the order of arrival.
+      if (!best ||
+          std::tie(candidate.rank, candidate.sizeClass, best->since, best->id) >
+            std::tie(
+              best->rank, best->sizeClass, candidate.since, candidate.id)) {
+        best = candidate;
+      }
+    }
+  }
+  return best;
+}
+
+void ConnectionMemory::Yield(const Candidate& aCandidate, GiveWayCause aCause)
+{
+  GiveWayHook hook;
+  {
+    Shard& shard = ShardOf(aCandidate.id);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    const auto found = shard.connections.find(aCandidate.id);
+    // Another thread may have closed it or completed its request since.
+    if (found == shard.connections.end() || found->second.yields ||
+        found->second.phase != aCandidate.phase) {
+      return;
+    }
+    found->second.yields = true;
+    yielding_ += found->second.bytes;
+    hook = found->second.hook;
+  }
+  hook(aCause);
+}
+
+}
