Bound what connections hold, and charge it to one budget

Cause: the read buffer had no bound (endless trailers), bodies were bounded for each connection only, a body that stopped arriving held its memory for 10 s, refused connections drained 64 MB, unfinished requests held the slots of ordinary callers, sockets' buffers grew to several MB, replies that nobody read and requests that waited were not counted, and a failed accept was repeated at once.

HttpListener reads in steps of 2 to 16 KB into a bounded buffer, lets a body grow with its bytes, bounds trailers, chunk headers and the wire bytes of a chunked body, closes headers and bodies that stop arriving after 4 s, and charges what it holds to the ConnectionMemory that all listeners of a process share. A connection that has to give way is answered 503 (429 by hemlockhavend) or closed; its request has not run.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -103,23 +103,16 @@
   return peers;
 }
 
-HttpServer::Options ServerOptions(const SocketAddress& aAddress,
-                                  const LimitSettings& aLimits)
-{
-  HttpServer::Options options;
-  options.address = aAddress.address;
-  options.port = aAddress.port;
-  options.bodyBytes = aLimits.bodyBytes;
-  options.connections = aLimits.connections;
-  options.readTimeout = aLimits.readTimeout;
-  return options;
-}
-
 }
 
 Daemon::Daemon(DaemonSettings aSettings)
   : settings_(std::move(aSettings))
+  , plan_(PlanConnections(settings_.memoryMb,
+                          DescriptorLimit(),
+                          settings_.limits.connections))
+  , connectionMemory_(std::make_shared<ConnectionMemory>(plan_.budgetBytes))
 {
+  ReturnFreedBodies();
   node_ =
     std::make_unique<Node>(Incarnation{ settings_.name, RandomIncarnation() },
                            OwnVmOf(settings_),
@@ -159,13 +152,14 @@
     peers_ = std::make_unique<PeerConnection>(*node_, settings_);
   }
   StartPlatform();
+  HttpServer::Options checks = ServerOptions(settings_.operators);
+  checks.connections = kCheckConnections;
   operatorServer_ = std::make_unique<HttpServer>(
-    ServerOptions(settings_.operators, settings_.limits),
-    [this](const HttpRequestView& aRequest) {
+    checks, [this](const HttpRequestView& aRequest) {
       return operatorApi_->Handle(aRequest);
     });
-  HttpServer::Options options =
-    ServerOptions(settings_.callers, settings_.limits);
+  HttpServer::Options options = ServerOptions(settings_.callers);
+  options.connections = plan_.connections;
   options.maxThreads =
     static_cast<unsigned>(settings_.limits.waitingCallers) + kSpareThreads;
   callerServer_ = std::make_unique<HttpServer>(
@@ -186,6 +180,27 @@
     .Write("ready");
 }
 
+HttpServer::Options Daemon::ServerOptions(const SocketAddress& aAddress)
+{
+  HttpServer::Options options;
+  options.address = aAddress.address;
+  options.port = aAddress.port;
+  // One body must not take the whole budget.
+  options.bodyBytes =
+    std::min(settings_.limits.bodyBytes, plan_.budgetBytes / 2);
+  options.readTimeout = settings_.limits.readTimeout;
+  options.receiveBufferBytes = plan_.receiveBufferBytes;
+  options.sendBufferBytes = plan_.sendBufferBytes;
+  options.common.memory = connectionMemory_;
+  options.common.onRejection = [this](RequestError aError) {
+    rejected_.Count(aError);
+    Log::Info("connection")
+      .Field("detail", RequestErrorName(aError))
+      .Write("rejected");
+  };
+  return options;
+}
+
 void Daemon::Shutdown()
 {
   isReady_ = false;
@@ -319,7 +334,8 @@
   };
   hooks.drain = [this](const DrainOrder& aOrder) { return Drain(aOrder); };
   hooks.metrics = [this] {
-    return WriteExposition(node_->Counts(), summaries_, Status());
+    return WriteExposition(node_->Counts(), summaries_, Status()) +
+           WriteConnectionMetrics(rejected_, *connectionMemory_);
   };
   return hooks;
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -10,6 +10,9 @@
 #include "http/EndpointClient.h"
 #include "http/HttpServer.h"
 #include "http/OperatorApi.h"
+#include "net/ConnectionMemory.h"
+#include "net/ConnectionPlan.h"
+#include "net/RequestError.h"
 #include "settings/DaemonSettings.h"
 
 #include <atomic>
@@ -39,6 +42,7 @@
 
 private:
   void StartPlatform();
+  HttpServer::Options ServerOptions(const SocketAddress& aAddress);
   NodeHooks MakeNodeHooks();
   OperatorHooks MakeOperatorHooks();
   Result<void> Readiness() const;
@@ -57,6 +61,9 @@
 
   DaemonSettings settings_;
   Summaries summaries_;
+  const ConnectionPlan plan_;
+  RequestErrorCounts rejected_;
+  std::shared_ptr<ConnectionMemory> connectionMemory_;
   std::unique_ptr<EndpointClient> endpointClient_;
   std::unique_ptr<Node> node_;
   std::unique_ptr<CallerApi> callerApi_;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -20,6 +20,8 @@
   limits.readTimeout = aOptions.readTimeout;
   limits.idleTimeout = aOptions.keepAlive;
   limits.connections = aOptions.connections;
+  limits.receiveBufferBytes = aOptions.receiveBufferBytes;
+  limits.sendBufferBytes = aOptions.sendBufferBytes;
   return limits;
 }
 
@@ -39,7 +41,17 @@
     case RequestError::BodyTooLarge:
       return ReplyOf(Error::NotRun(
         "read body", Reason::BodyTooLarge, "the body is over the limit"));
+    case RequestError::TrailerTooLarge:
+      return Malformed("the trailers or a chunk's header are too long");
+    case RequestError::MemoryExhausted:
+      return ReplyOf(Error::NotRun("read request",
+                                   Reason::TooManyWaiting,
+                                   "connections hold too much memory",
+                                   std::chrono::seconds(1)));
     case RequestError::TooManyConnections:
+    case RequestError::TooSlow:
+    case RequestError::ReplyNotRead:
+    case RequestError::Count:
       break;
   }
   return ReplyOf(Error::NotRun("accept",
@@ -97,7 +109,8 @@
         Answer(aRequest, aReply);
         return nullptr;
       },
-      [](RequestError aFault) { return Encode(ReplyTo(aFault)); })
+      [](RequestError aFault) { return Encode(ReplyTo(aFault)); },
+      aOptions.common)
   , thread_([this] { context_.run(); })
 {
 }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -35,6 +35,9 @@
     std::size_t connections = 4000;     //!< Connections beyond it get 429.
     Duration readTimeout = std::chrono::seconds(10); //!< For a whole request.
     Duration keepAlive = std::chrono::seconds(60);
+    std::size_t receiveBufferBytes = 0; //!< As in HttpListener::Limits.
+    std::size_t sendBufferBytes = 0;
+    HttpListener::Common common; //!< Shared by the servers of a process.
   };
 
   //! Starts to listen; throws std::exception if the address is taken.
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -1,21 +1,26 @@
 #include "net/HttpListener.h"
 
+#include "net/RequestParser.h"
 #include "net/SocketOptions.h"
 
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace hemlockhaven {
 
@@ -26,8 +31,11 @@
 struct HttpListener::Shared
 {
   Limits limits;
+  std::atomic<std::size_t> headerBytes{ 0 };
+  std::atomic<std::size_t> bodyBytes{ 0 };
   RequestHandler handler;
   RequestErrorHook errorReply;
+  Common common;
   std::atomic<std::size_t> connections{ 0 };
   std::atomic<std::size_t> refused{ 0 };
   std::atomic<bool> draining{ false };
@@ -40,12 +48,25 @@
 
 namespace {
 
-//! Most requests fit into one read of this size.
-constexpr std::size_t kReadChunkBytes = 4096;
+//! Most requests fit into one read of this size, and each idle connection holds
+//! a buffer of it.
+constexpr std::size_t kMinReadBytes = 2048;
+//! Reads grow up to this size while they are filled.
+constexpr std::size_t kMaxReadBytes = 16384;
 
-//! Limit of the input that is discarded after the last reply. Closing with
-//! unread input would reset the connection before the caller reads the reply.
-constexpr std::size_t kMaxDiscardedBytes = 64U << 20U;
+//! Bytes on the wire for each byte of a chunked body. A chunk of one byte takes
+//! six; clients that send such chunks stay within the limit.
+constexpr std::size_t kMaxWireFactor = 8;
+
+//! What a connection holds beside its buffers: state of the reactor and timers.
+constexpr std::size_t kReactorBytes = 1024;
+
+//! Time for a client to read a refusal and to close the connection.
+constexpr Duration kDiscardTimeout{ 3000000 };
+
+//! Pause after a failed accept. Without free descriptors each further attempt
+//! fails at once.
+constexpr Duration kAcceptRetryInterval{ 50000 };
 
 std::string_view ToView(beast::string_view aText)
 {
@@ -88,19 +109,78 @@
 
   ~Session()
   {
+    if (memoryId_ != 0) {
+      shared_->common.memory->Close(memoryId_);
+    }
     --count_;
-    const std::lock_guard<std::mutex> lock(shared_->mutex);
-    shared_->idle.erase(this);
+    RemoveFromIdle();
   }
   Session(const Session&) = delete;
   Session& operator=(const Session&) = delete;
 
+  void Start()
+  {
+    if (shared_->common.memory) {
+      // Closing a refused connection makes no room for another one.
+      memoryId_ = shared_->common.memory->Open(
+        IsOverLimit() ? nullptr : shared_.get(),
+        SteadyNow(),
+        [weak = weak_from_this()](GiveWayCause aCause) {
+          if (const auto self = weak.lock()) {
+            net::post(self->stream_.get_executor(),
+                      [self, aCause] { self->GiveWay(aCause); });
+          }
+        });
+    }
+    Read();
+  }
+
+private:
+  bool IsOverLimit() const { return &count_ == &shared_->refused; }
+
+  void RemoveFromIdle()
+  {
+    const std::lock_guard<std::mutex> lock(shared_->mutex);
+    shared_->idle.erase(this);
+  }
+
+  std::size_t HeldBytes() const
+  {
+    return sizeof(Session) + kReactorBytes + buffer_.capacity() + fieldBytes_ +
+           (parser_ ? parser_->get().body().capacity() : 0) + handledBytes_ +
+           responseBytes_.capacity();
+  }
+
+  //! False: this connection has to give way, which only a receiving one has.
+  bool Charge(ConnectionPhase aPhase)
+  {
+    phase_ = aPhase;
+    return memoryId_ == 0 || shared_->common.memory->Update(
+                               memoryId_, aPhase, HeldBytes(), SteadyNow());
+  }
+
+  void Reject(RequestError aError)
+  {
+    if (shared_->common.onRejection) {
+      shared_->common.onRejection(aError);
+    }
+  }
+
   void Read()
   {
-    parser_.emplace();
-    parser_->header_limit(
-      static_cast<std::uint32_t>(shared_->limits.headerBytes));
-    parser_->body_limit(shared_->limits.bodyBytes);
+    parser_.reset();
+    std::string().swap(responseBytes_);
+    handledBytes_ = 0;
+    if (buffer_.size() > 0) {
+      BeginRequest();
+      return;
+    }
+    if (buffer_.capacity() > kMinReadBytes) {
+      buffer_ = beast::flat_buffer();
+    }
+    const auto space = buffer_.prepare(kMinReadBytes);
+    static_cast<void>(
+      Charge(isNew_ ? ConnectionPhase::Silent : ConnectionPhase::Idle));
     stream_.expires_after(shared_->limits.idleTimeout);
     {
       const std::lock_guard<std::mutex> lock(shared_->mutex);
@@ -111,80 +191,175 @@
         }
       };
     }
-    if (buffer_.size() > 0) {
-      ReadRequest();
-      return;
-    }
     stream_.async_read_some(
-      buffer_.prepare(kReadChunkBytes),
+      space,
       [self = shared_from_this()](const beast::error_code& aError,
                                   std::size_t aCount) {
+        self->RemoveFromIdle();
         if (aError) {
-          self->RemoveFromIdle();
           return;
         }
         self->buffer_.commit(aCount);
-        self->ReadRequest();
+        self->BeginRequest();
       });
   }
 
-private:
-  bool IsOverLimit() const { return &count_ == &shared_->refused; }
+  void CloseIfIdle()
+  {
+    // A request that has started to arrive still gets its reply.
+    if ((phase_ == ConnectionPhase::Silent ||
+         phase_ == ConnectionPhase::Idle) &&
+        buffer_.size() == 0) {
+      Close();
+    }
+  }
 
-  void RemoveFromIdle()
+  void Close()
   {
-    const std::lock_guard<std::mutex> lock(shared_->mutex);
-    shared_->idle.erase(this);
+    beast::error_code ignored; // The caller may have closed it first.
+    stream_.socket().close(ignored);
   }
 
-  //! Reads the rest of a request whose first bytes are buffered.
-  void ReadRequest()
+  //! Reads a request whose first bytes are buffered.
+  void BeginRequest()
   {
-    stream_.expires_after(shared_->limits.readTimeout);
-    http::async_read(
-      stream_,
-      buffer_,
-      *parser_,
-      [self = shared_from_this()](const beast::error_code& aError,
-                                  std::size_t) { self->OnRead(aError); });
+    isNew_ = false;
+    beganAt_ = SteadyNow();
+    wireBytes_ = 0;
+    readBytes_ = kMinReadBytes;
+    headerLimit_ = shared_->headerBytes;
+    bodyLimit_ = shared_->bodyBytes;
+    parser_.emplace(
+      std::piecewise_construct,
+      std::make_tuple(),
+      std::make_tuple(Detail::CountingAllocator<char>(fieldBytes_)));
+    parser_->header_limit(static_cast<std::uint32_t>(headerLimit_));
+    parser_->body_limit(bodyLimit_);
+    parser_->eager(true);
+    phase_ = ConnectionPhase::Receiving;
+    Parse();
   }
 
-  void CloseIfIdle()
+  //! Parses what is buffered and reads on until the request is complete.
+  void Parse()
   {
-    // A request that has started to arrive still gets its reply.
-    if (!awaitsReply_ && !parser_->got_some() && buffer_.size() == 0) {
-      beast::error_code ignored; // The caller may have closed it first.
-      stream_.socket().close(ignored);
+    beast::error_code error;
+    const std::size_t parsed = parser_->put(buffer_.data(), error);
+    buffer_.consume(parsed);
+    wireBytes_ += parsed;
+    if (error && error != http::error::need_more) {
+      ReplyWithError(ErrorOf(error));
+    } else if (parser_->is_done()) {
+      OnComplete();
+    } else if (parser_->is_header_done() && buffer_.size() >= headerLimit_) {
+      ReplyWithError(RequestError::TrailerTooLarge);
+    } else if (wireBytes_ > 2 * headerLimit_ + kMaxWireFactor * bodyLimit_) {
+      ReplyWithError(RequestError::BodyTooLarge);
+    } else {
+      ReadMore();
     }
   }
 
-  void OnRead(const beast::error_code& aError)
+  static RequestError ErrorOf(const beast::error_code& aError)
   {
-    RemoveFromIdle();
-    if (!aError) {
-      if (IsOverLimit()) {
-        ReplyWithError(RequestError::TooManyConnections);
+    if (aError == http::error::body_limit) {
+      return RequestError::BodyTooLarge;
+    }
+    return aError == http::error::header_limit ? RequestError::HeaderTooLarge
+                                               : RequestError::Malformed;
+  }
+
+  void ReadMore()
+  {
+    const auto space = buffer_.prepare(readBytes_);
+    if (!Charge(ConnectionPhase::Receiving)) {
+      ReplyWithError(RequestError::MemoryExhausted);
+      return;
+    }
+    const TimePoint now = SteadyNow();
+    const TimePoint stallsAt = parser_->is_header_done()
+                                 ? now + shared_->limits.stallTimeout
+                                 : beganAt_ + shared_->limits.headerTimeout;
+    const TimePoint end =
+      std::min(stallsAt, beganAt_ + shared_->limits.readTimeout);
+    stream_.expires_after(std::max(end - now, Duration(0)));
+    stream_.async_read_some(
+      space,
+      [self = shared_from_this()](const beast::error_code& aError,
+                                  std::size_t aCount) {
+        self->OnRead(aError, aCount);
+      });
+  }
+
+  void OnRead(const beast::error_code& aError, std::size_t aCount)
+  {
+    if (givesWay_) {
+      if (*givesWay_ == GiveWayCause::BudgetExhausted) {
+        ReplyWithError(RequestError::MemoryExhausted);
       } else {
-        Handle();
+        Reject(RequestError::TooManyConnections);
+      }
+      return; // Without a reply the connection is closed.
+    }
+    if (aError) {
+      // A closed connection gets no error reply.
+      if (aError == beast::error::timeout) {
+        Reject(RequestError::TooSlow);
       }
       return;
     }
-    // Invalid requests get an error reply; a closed connection gets none.
-    if (aError == http::error::body_limit) {
-      ReplyWithError(RequestError::BodyTooLarge);
-    } else if (aError == http::error::header_limit ||
-               aError == http::error::buffer_overflow) {
-      ReplyWithError(RequestError::HeaderTooLarge);
-    } else if (aError.category() ==
-                 make_error_code(http::error::bad_method).category() &&
-               aError != http::error::end_of_stream &&
-               aError != http::error::partial_message) {
-      ReplyWithError(RequestError::Malformed);
+    buffer_.commit(aCount);
+    if (aCount >= readBytes_) {
+      readBytes_ = std::min(2 * readBytes_, kMaxReadBytes);
+    }
+    Parse();
+  }
+
+  //! A read or write is pending while the connection can be chosen. The phase
+  //! may have changed since: a request that was refused still gets its reply.
+  void GiveWay(GiveWayCause aCause)
+  {
+    switch (phase_) {
+      case ConnectionPhase::Receiving:
+        givesWay_ = aCause;
+        stream_.cancel();
+        break;
+      case ConnectionPhase::Answering:
+        if (!isRefused_) {
+          Reject(RequestError::ReplyNotRead);
+          Close();
+        }
+        break;
+      case ConnectionPhase::Silent:
+      case ConnectionPhase::Discarding:
+        if (aCause == GiveWayCause::ListenerFull) {
+          Close();
+        }
+        break;
+      case ConnectionPhase::Idle:
+      case ConnectionPhase::Waiting:
+        break; // The request has been completed in the meantime.
     }
   }
 
+  void OnComplete()
+  {
+    if (IsOverLimit()) {
+      ReplyWithError(RequestError::TooManyConnections);
+    } else if (!Charge(ConnectionPhase::Receiving)) {
+      ReplyWithError(RequestError::MemoryExhausted);
+    } else {
+      Handle();
+    }
+  }
+
+  //! Releases the request, replies and closes the connection.
   void ReplyWithError(RequestError aRequestError)
   {
+    Reject(aRequestError);
+    isRefused_ = true;
+    parser_.reset();
+    buffer_ = beast::flat_buffer();
     keepAlive_ = false;
     awaitsReply_ = true;
     Write(EncodeResponse(shared_->errorReply(aRequestError), false));
@@ -195,12 +370,15 @@
     auto& message = parser_->get();
     keepAlive_ = message.keep_alive();
     awaitsReply_ = true;
+    // What the handler keeps of the request while it is handled.
+    handledBytes_ = message.target().size() + message.body().size();
     // The handler decides how long the caller waits.
     stream_.expires_never();
+    static_cast<void>(Charge(ConnectionPhase::Waiting));
     IncomingRequest request;
     request.method = ToView(message.method_string());
     request.target = ToView(message.target());
-    request.body = message.body();
+    request.body = { message.body().data(), message.body().size() };
     request.header = [&message](std::string_view aName) {
       return ToView(message[beast::string_view(aName.data(), aName.size())]);
     };
@@ -211,7 +389,15 @@
           self->stream_.get_executor(),
           [self, reply = std::move(aReply)] { self->Reply(reply); });
       });
-    if (awaitsReply_ && onDisconnect) {
+    parser_.reset();
+    if (!awaitsReply_) {
+      return;
+    }
+    if (buffer_.size() == 0) {
+      buffer_ = beast::flat_buffer();
+    }
+    static_cast<void>(Charge(ConnectionPhase::Waiting));
+    if (onDisconnect) {
       onDisconnect_ = std::move(onDisconnect);
       WatchDisconnect();
     }
@@ -276,7 +462,9 @@
   {
     awaitsReply_ = false;
     onDisconnect_ = nullptr;
+    handledBytes_ = 0;
     responseBytes_ = std::move(aBytes);
+    static_cast<void>(Charge(ConnectionPhase::Answering));
     beast::error_code ignored; // Only stops WatchDisconnect, if it is pending.
     stream_.socket().cancel(ignored);
     stream_.expires_after(shared_->limits.readTimeout);
@@ -295,20 +483,25 @@
         beast::error_code atEnd; // The caller may have closed it first.
         self->stream_.socket().shutdown(net::ip::tcp::socket::shutdown_send,
                                         atEnd);
-        self->buffer_.clear();
+        std::string().swap(self->responseBytes_);
+        self->buffer_ = beast::flat_buffer();
+        self->stream_.expires_after(kDiscardTimeout);
         self->DiscardInput(0);
       });
   }
 
   //! Discards remaining input until the caller closes the connection: closing
-  //! earlier would reset it, and the caller might not see the reply.
+  //! earlier would reset it, and the caller might not see the reply. A request
+  //! within the limits is read to its end.
   void DiscardInput(std::size_t aDiscardedBytes)
   {
-    if (aDiscardedBytes > kMaxDiscardedBytes) {
+    if (aDiscardedBytes > headerLimit_ + bodyLimit_) {
       return;
     }
+    const auto space = buffer_.prepare(kMinReadBytes);
+    static_cast<void>(Charge(ConnectionPhase::Discarding));
     stream_.async_read_some(
-      buffer_.prepare(kReadChunkBytes),
+      space,
       [self = shared_from_this(),
        aDiscardedBytes](const beast::error_code& aError, std::size_t aCount) {
         if (!aError) {
@@ -320,10 +513,22 @@
   beast::tcp_stream stream_;
   std::shared_ptr<HttpListener::Shared> shared_;
   std::atomic<std::size_t>& count_;
+  ConnectionMemory::ConnectionId memoryId_ = 0; //!< 0: not charged.
+  ConnectionPhase phase_ = ConnectionPhase::Silent;
+  std::optional<GiveWayCause> givesWay_;
   beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::size_t fieldBytes_ = 0; //!< Held by the parser's fields.
+  std::optional<Detail::RequestParser> parser_;
+  std::size_t headerLimit_ = 0; //!< Of the present request.
+  std::size_t bodyLimit_ = 0;
+  TimePoint beganAt_{};
+  std::size_t wireBytes_ = 0; //!< Of the present request.
+  std::size_t readBytes_ = kMinReadBytes;
+  std::size_t handledBytes_ = 0;
   std::string responseBytes_;
   DisconnectHook onDisconnect_;
+  bool isNew_ = true;
+  bool isRefused_ = false;
   bool keepAlive_ = true;
   bool awaitsReply_ = false;
 };
@@ -338,11 +543,18 @@
       reply.status = 400;
       break;
     case RequestError::HeaderTooLarge:
+    case RequestError::TrailerTooLarge:
       reply.status = 431;
       break;
     case RequestError::BodyTooLarge:
       reply.status = 413;
       break;
+    case RequestError::TooSlow:
+      reply.status = 408;
+      break;
+    case RequestError::MemoryExhausted:
+    case RequestError::ReplyNotRead:
+    case RequestError::Count:
     case RequestError::TooManyConnections:
       reply.status = 503;
       reply.retryAfterSeconds = 1;
@@ -355,16 +567,23 @@
                            const net::ip::tcp::endpoint& aAddress,
                            const Limits& aLimits,
                            RequestHandler aHandler,
-                           RequestErrorHook aErrorReply)
+                           RequestErrorHook aErrorReply,
+                           Common aCommon)
   : context_(aContext)
   , acceptor_(net::make_strand(aContext))
+  , acceptRetry_(acceptor_.get_executor())
   , shared_(std::make_shared<Shared>())
 {
   shared_->limits = aLimits;
   shared_->handler = std::move(aHandler);
   shared_->errorReply = std::move(aErrorReply);
+  shared_->common = std::move(aCommon);
+  SetMessageLimits(aLimits.headerBytes, aLimits.bodyBytes);
   acceptor_.open(aAddress.protocol());
   acceptor_.set_option(net::socket_base::reuse_address(true));
+  // Accepted sockets inherit the sizes, also while they wait for that.
+  SetKernelBuffers(
+    acceptor_, aLimits.receiveBufferBytes, aLimits.sendBufferBytes);
   acceptor_.bind(aAddress);
   // Use the longest backlog that the system allows: a full one delays
   // connection attempts by seconds.
@@ -392,6 +611,13 @@
   }
 }
 
+void HttpListener::SetMessageLimits(std::size_t aHeaderBytes,
+                                    std::size_t aBodyBytes)
+{
+  shared_->headerBytes = aHeaderBytes;
+  shared_->bodyBytes = aBodyBytes;
+}
+
 std::uint16_t HttpListener::Port() const
 {
   return acceptor_.local_endpoint().port();
@@ -411,11 +637,25 @@
       if (shared->stopped || aError == net::error::operation_aborted) {
         return;
       }
-      const bool isFull = shared->connections >= shared->limits.connections;
+      if (aError) {
+        acceptRetry_.expires_after(kAcceptRetryInterval);
+        acceptRetry_.async_wait([this, shared](const beast::error_code& aEnd) {
+          if (!aEnd && !shared->stopped) {
+            Accept();
+          }
+        });
+        return;
+      }
+      const bool isFull =
+        shared->connections >= shared->limits.connections &&
+        !(shared->common.memory &&
+          shared->common.memory->MakeRoom(shared.get(), SteadyNow()));
       auto& count = isFull ? shared->refused : shared->connections;
-      if (!aError && (!isFull || count < shared->limits.refusedConnections)) {
+      if (!isFull || count < shared->limits.refusedConnections) {
         SetSocketOptions(aSocket);
-        std::make_shared<Session>(std::move(aSocket), shared, count)->Read();
+        std::make_shared<Session>(std::move(aSocket), shared, count)->Start();
+      } else if (shared->common.onRejection) {
+        shared->common.onRejection(RequestError::TooManyConnections);
       }
       Accept();
     });
--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -2,9 +2,12 @@
 #define HEMLOCKHAVEN_SRC_NET_HTTPLISTENER_H
 
 #include "hemlockhaven/core/Time.h"
+#include "net/ConnectionMemory.h"
+#include "net/RequestError.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <cstddef>
@@ -48,17 +51,10 @@
 using RequestHandler =
   std::function<DisconnectHook(const IncomingRequest&, ReplyHook)>;
 
-//! Why a request was rejected before it reached the handler.
-enum class RequestError
-{
-  Malformed,
-  HeaderTooLarge,
-  BodyTooLarge,
-  TooManyConnections,
-};
-
 //! Makes the reply to a rejected request.
 using RequestErrorHook = std::function<OutgoingReply(RequestError)>;
+//! Reports that a request was rejected or a connection closed.
+using RejectionHook = std::function<void(RequestError)>;
 
 //! Makes a reply with the status code of the error and an empty body.
 OutgoingReply EmptyReply(RequestError aRequestError);
@@ -70,14 +66,27 @@
 public:
   struct Limits
   {
-    std::size_t headerBytes = 16384;
+    std::size_t headerBytes = 16384; //!< Also of trailers and chunk headers.
     std::size_t bodyBytes = std::size_t{ 1 } << 20U;
     Duration readTimeout{ 10000000 };  //!< From the first byte of a request.
+    Duration headerTimeout{ 4000000 }; //!< The same, for the header.
+    Duration stallTimeout{ 4000000 };  //!< Without a byte of a body.
     Duration idleTimeout{ 120000000 }; //!< Between requests.
     std::size_t connections = 3000;    //!< Further ones are refused.
     //! Connections that may receive a refusal at a time; further ones are
     //! closed without a reply.
     std::size_t refusedConnections = 100;
+    //! Sizes of a socket's buffers in the kernel; 0: as the system has them.
+    std::size_t receiveBufferBytes = 0;
+    std::size_t sendBufferBytes = 0;
+  };
+
+  //! What the listeners of a process have in common.
+  struct Common
+  {
+    //! Without it, only the limits of each connection apply.
+    std::shared_ptr<ConnectionMemory> memory;
+    RejectionHook onRejection;
   };
 
   //! Starts listening. Throws std::exception if the address is in use.
@@ -85,7 +94,8 @@
                const boost::asio::ip::tcp::endpoint& aAddress,
                const Limits& aLimits,
                RequestHandler aHandler,
-               RequestErrorHook aErrorReply = EmptyReply);
+               RequestErrorHook aErrorReply = EmptyReply,
+               Common aCommon = {});
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -93,6 +103,9 @@
   //! Closes idle connections now and all others after their next reply.
   void Drain();
 
+  //! Changes the limits of a message, from the next request on.
+  void SetMessageLimits(std::size_t aHeaderBytes, std::size_t aBodyBytes);
+
   std::uint16_t Port() const;
   std::size_t Connections() const;
 
@@ -103,6 +116,7 @@
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer acceptRetry_;
   std::shared_ptr<Shared> shared_;
 };
 
--- a/src/net/SocketOptions.cpp
+++ b/src/net/SocketOptions.cpp
@@ -24,4 +24,23 @@
   aSocket.set_option(UserTimeout(kUserTimeoutMs), ignored);
 }
 
+void SetKernelBuffers(boost::asio::ip::tcp::acceptor& aAcceptor,
+                      std::size_t aReceiveBytes,
+                      std::size_t aSendBytes)
+{
+  // Linux takes twice the number that is set. An error leaves the system's
+  // size, with which the listener still works.
+  boost::system::error_code ignored;
+  if (aReceiveBytes > 0) {
+    aAcceptor.set_option(boost::asio::socket_base::receive_buffer_size(
+                           static_cast<int>(aReceiveBytes / 2)),
+                         ignored);
+  }
+  if (aSendBytes > 0) {
+    aAcceptor.set_option(boost::asio::socket_base::send_buffer_size(
+                           static_cast<int>(aSendBytes / 2)),
+                         ignored);
+  }
+}
+
 }
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -57,6 +57,7 @@
   std::optional<SocketAddress> platformLog;
   std::optional<SocketAddress> vmList;
   std::vector<EndpointDescription> endpoints;
+  std::size_t memoryMb = 0;  //!< Of the machine.
   std::uint32_t threads = 0; //!< Shards of the dispatcher.
   LimitSettings limits;
   Duration leaveDelay{ 0 };
--- a/src/settings/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -46,6 +46,8 @@
     [](Settings& aTo, const json& aValue) { aTo.cores = aValue; } },
   { "threads", T::Number, 1, 64, "", "1", "shards of the dispatcher",
     [](Settings& aTo, const json& aValue) { aTo.threads = aValue; } },
+  { "memoryMb", T::Number, 64, 1048576, "", "256", "memory of the VM in MB; a quarter of it bounds what connections hold",
+    [](Settings& aTo, const json& aValue) { aTo.memoryMb = aValue; } },
   { "callers.address", T::IpNumber, 0, 0, "", "\"127.0.0.1\"", "where callers connect",
     [](Settings& aTo, const json& aValue) { aTo.callers.address = aValue; } },
   { "callers.port", T::Number, 1, 65535, "", "", "TCP port of the callers' server",
