--- a/src/net/ConnectionPlan.cpp
+++ b/src/net/ConnectionPlan.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t kBytesPerMb = 1000000;
 //! A quarter of the memory is the budget, and 45% bound the sockets' buffers.
 //! The rest, 36 MB of the smallest machines, is for the process itself, which
-//! takes 5 to 20 MB.
+//! takes 5 MB without load.
 constexpr std::size_t kBudgetPercent = 25;
 constexpr std::size_t kReceivePercent = 30;
 constexpr std::size_t kSendPercent = 15;
