--- a/tests/net/HttpLimitsTest.cpp
+++ b/tests/net/HttpLimitsTest.cpp
@@ -311,9 +311,10 @@
 TEST(HttpLimits, DropsTheLargestUnfinishedBodyBeforeOrdinaryCallers)
 {
   Fixture fixture;
-  const std::string most = std::string(kBodyBytes - 1, 'x');
+  const std::string unfinished =
+    kPost + "Content-Length: 262144\r\n\r\n" + std::string(kBodyBytes - 1, 'x');
   for (int i = 0; i < 3; ++i) {
-    fixture.Open(kPost + "Content-Length: 262144\r\n\r\n" + most);
+    fixture.Open(unfinished);
   }
   CHECK(fixture.RunUntil(
     [&] { return fixture.counts.Value(RequestError::MemoryExhausted) == 1; }));
