Answer cancels and state queries at every daemon, and name the submission that is answered

A DELETE or GET reached only the daemon whose caller waits; others answered 410 and the job ran on. A repeat of a cancelled job's request started it again, and a late answer to an earlier submission ended the next one.

Daemons forward queries to all known leaders (JobQueries). Answers carry the key of the submission.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -6,6 +6,7 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/fleet/Dice.h"
+#include "hemlockhaven/front/JobQueries.h"
 #include "hemlockhaven/front/SubmissionTracker.h"
 #include "hemlockhaven/leadership/LeaderElection.h"
 #include "hemlockhaven/scheduler/Scheduler.h"
@@ -43,6 +44,9 @@
                      std::string_view aWorkId,
                      std::string_view aReason)>
     sendCancel;
+  std::function<void(std::string_view aMember, const JobQuery&)> sendJobQuery;
+  std::function<void(std::string_view aMember, const JobQueryReply&)>
+    sendJobQueryReply;
   std::function<void(const StartCommand&, std::function<void(CommandReply)>)>
     start;
   std::function<void(const StopCommand&, std::function<void(CommandReply)>)>
@@ -68,11 +72,15 @@
   //! disconnect, or 0.
   std::uint64_t Accept(Work aWork, AnswerHook aAnswer);
   void OnCallerDisconnect(std::string_view aWorkId, std::uint64_t aWaiterId);
-  bool Cancel(std::string_view aWorkId);
-  bool HasWaitingCaller(std::string_view aWorkId) const
-  {
-    return tracker_.HasWaitingCaller(aWorkId);
-  }
+  //! Cancels a job, whichever daemon its caller waits at. The answer may come
+  //! later, from any thread, but within aTimeout and JobQueries::kTimeout.
+  void Cancel(std::string_view aWorkId,
+              Duration aTimeout,
+              JobAnswerHook aAnswer);
+  //! Finds out the state of a job, likewise.
+  void QueryState(std::string_view aWorkId,
+                  Duration aTimeout,
+                  JobAnswerHook aAnswer);
 
   // From other daemons.
   void AddMember(const Member& aMember) { election_.AddMember(aMember); }
@@ -83,6 +91,8 @@
   void OnCancel(std::string_view aEntryVm,
                 std::string_view aWorkId,
                 std::string_view aReason);
+  void OnJobQuery(std::string_view aMember, const JobQuery& aQuery);
+  void OnJobQueryReply(std::string_view aMember, const JobQueryReply& aReply);
 
   // From the platform.
   //! Sets the whole list.
@@ -120,6 +130,9 @@
   std::string Leader() const { return election_.Leader(); }
   bool IsLeading() const { return election_.IsLeading(); }
   std::size_t WaitingCallers() const { return tracker_.WaitingCallers(); }
+  std::size_t OpenJobQueries() const { return queries_.OpenCount(); }
+  //! Cancels that this daemon remembers for its callers.
+  std::size_t RememberedCancels() const { return tracker_.CancelledJobCount(); }
   SchedulerLoad Load() const;
 
 private:
@@ -137,12 +150,23 @@
   bool ShouldShed();
   void Apply(Scheduler& aScheduler, const SchedulerEffects& aEffects);
   void Apply(TrackerEffects aEffects);
+  void Apply(const JobQueryEffects& aEffects);
+  //! Sends open queries and remembered cancels to leaders that became known.
+  void UpdateLeaders();
+  void SendJobQuery(std::string_view aLeader, JobQuery aQuery);
+  //! Tells a leader of a cancel without waiting for a reply.
+  void SendCancelledJob(std::string_view aLeader, std::string_view aWorkId);
+  //! What the schedulers of this daemon know of the job; cancels it there if
+  //! the query asks for that.
+  JobState AnswerJobQuery(const JobQuery& aQuery);
+  std::uint64_t Term() const;
   void Apply(const ElectionEffects& aEffects);
   void LogDecision(std::string_view aStep,
                    std::string_view aOutcome,
                    std::string_view aDetail) const;
 
   const std::string name_;
+  const std::uint64_t incarnation_;
   const SchedulerPolicy policy_;
   CoordinatorHooks hooks_;
   Clock clock_;
@@ -152,6 +176,11 @@
   std::size_t ownEndpointCount_ = 0;
   LeaderElection election_;
   SubmissionTracker tracker_;
+  JobQueries queries_;
+  std::mutex informedLeadersMutex_;
+  //! Incarnations of the leaders that were told of the remembered cancels, by
+  //! name; informedLeadersMutex_ guards it.
+  std::map<std::string, std::uint64_t> informedLeaders_;
   std::mutex sheddingMutex_;
   LoadShedding shedding_; //!< sheddingMutex_ guards this and the next two.
   Dice dice_;
--- a/include/hemlockhaven/front/SubmissionTracker.h
+++ b/include/hemlockhaven/front/SubmissionTracker.h
@@ -2,6 +2,7 @@
 #define HEMLOCKHAVEN_FRONT_SUBMISSIONTRACKER_H
 
 #include "hemlockhaven/core/Time.h"
+#include "hemlockhaven/scheduler/CancelledWorks.h"
 #include "hemlockhaven/scheduler/Effects.h"
 #include "hemlockhaven/scheduler/Work.h"
 
@@ -80,12 +81,15 @@
   //! Limit of concurrently waiting callers; each takes about 6 kB.
   static constexpr std::size_t kMaxWaitingCallers = 4000;
 
-  explicit SubmissionTracker(Clock aClock);
+  //! aFirstAcceptance has to be higher than any number of an earlier process
+  //! under this daemon's name.
+  explicit SubmissionTracker(Clock aClock, std::uint64_t aFirstAcceptance = 0);
 
   //! Accepts work from a caller. aAnswer is called once. Sets aWaiterId to the
   //! id to pass to OnCallerDisconnect, or to 0 if the work was refused. Work
   //! that is already tracked keeps its entry; its earlier connection is
-  //! answered with TimedOut.
+  //! answered with TimedOut. Work that is remembered as cancelled is answered
+  //! at once.
   TrackerEffects Accept(Work aWork,
                         AnswerHook aAnswer,
                         std::uint64_t& aWaiterId);
@@ -100,12 +104,22 @@
   TrackerEffects OnCallerDisconnect(std::string_view aWorkId,
                                     std::uint64_t aWaiterId);
 
-  //! Cancels the work at its leader and answers its caller. False if the work
-  //! is not tracked here.
+  //! Cancels the work at its leader, answers its caller and remembers the
+  //! cancel. False if the work is neither tracked nor remembered here.
   bool Cancel(std::string_view aWorkId, TrackerEffects& aEffects);
 
-  //! Handles the answer of a leader. Answers of any leader but the one that the
-  //! work was last submitted to are ignored.
+  //! Remembers a cancel that a leader has confirmed to this daemon.
+  TrackerEffects RememberCancel(std::string_view aWorkId);
+
+  //! The jobs that are remembered as cancelled, which the next leader has to be
+  //! told of.
+  std::vector<std::string> CancelledJobs() const;
+  std::size_t CancelledJobCount() const;
+  bool IsCancelled(std::string_view aWorkId) const;
+
+  //! Handles the answer of a leader. Answers to any submission but the last one
+  //! of the work are ignored, unless a caller has cancelled the job: that holds
+  //! for all of them.
   TrackerEffects OnAnswer(const WorkAnswer& aAnswer, std::string_view aLeader);
 
   //! Updates the endpoints that a daemon uses while it leads, as last
@@ -129,6 +143,8 @@
   std::size_t WaitingCallers() const;
 
 private:
+  static constexpr std::size_t kShardCount = 8;
+
   struct Entry
   {
     Work work;
@@ -145,10 +161,9 @@
   {
     mutable std::mutex mutex;
     std::unordered_map<std::string, Entry> entries;
+    CancelledWorks cancelled{ CancelledWorks::kMaxWorks / kShardCount };
   };
 
-  static constexpr std::size_t kShardCount = 8;
-
   using InUseByLeader = std::map<std::string, EndpointsInUse, std::less<>>;
 
   Shard& ShardOf(std::string_view aWorkId);
@@ -161,6 +176,10 @@
                      const std::string& aWorkId,
                      CallerAnswer aAnswer,
                      TrackerEffects& aEffects);
+  static void RememberCancel(Shard& aShard,
+                             std::string_view aWorkId,
+                             TimePoint aNow,
+                             TrackerEffects& aEffects);
   //! Cancels the work at its leader, if any, and answers its caller.
   static void Abort(Shard& aShard,
                     const std::string& aWorkId,
@@ -175,6 +194,7 @@
   std::string leader_;
   InUseByLeader endpointsInUse_; //!< For each daemon that has led.
   std::atomic<std::uint64_t> nextWaiterId_{ 0 };
+  std::atomic<std::uint64_t> nextAcceptance_;
 };
 
 }
--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Span.h"
 #include "hemlockhaven/core/Time.h"
 #include "hemlockhaven/leadership/Heartbeat.h"
+#include "hemlockhaven/leadership/KnownLeader.h"
 #include "hemlockhaven/scheduler/EntryVmContact.h"
 
 #include <cstddef>
@@ -167,6 +168,13 @@
   //! also a withdrawal of its work.
   std::vector<EntryVmContact> EntryVmContacts() const;
 
+  //! The alive daemons that lead, this one included; several if the endpoints
+  //! are divided among leaders, or during a change.
+  std::vector<KnownLeader> KnownLeaders() const;
+
+  //! Whether a heartbeat of a member of this name has arrived.
+  bool HasHeard(std::string_view aName) const;
+
   std::string Leader() const;
   bool IsLeading() const;
   std::size_t AliveMemberCount() const;
--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -53,6 +53,8 @@
   Refused, //!< No task has run or will run.
   Cancelled,
   Moved, //!< This scheduler no longer leads; runs may continue.
+  //! A caller cancelled the job; it is not started again for a while.
+  CancelledByCaller,
 };
 
 //! The answer to the entry VM that submitted the work.
@@ -64,6 +66,7 @@
   std::string reason;       //!< For logs and the caller.
   Duration retryAfter{ 0 }; //!< With Refused: when to retry.
   Duration waited{ 0 };     //!< From arrival to the first start.
+  SubmissionKey key;        //!< Of the submission that it answers.
 };
 
 //! A decision for the log: one line of bounded length.
--- a/include/hemlockhaven/scheduler/Scheduler.h
+++ b/include/hemlockhaven/scheduler/Scheduler.h
@@ -6,6 +6,7 @@
 #include "hemlockhaven/scheduler/Effects.h"
 #include "hemlockhaven/scheduler/EndpointsInUse.h"
 #include "hemlockhaven/scheduler/EntryVmContact.h"
+#include "hemlockhaven/scheduler/JobState.h"
 #include "hemlockhaven/scheduler/ListPosition.h"
 #include "hemlockhaven/scheduler/ListedEndpoint.h"
 #include "hemlockhaven/scheduler/Reports.h"
@@ -84,6 +85,14 @@
                           std::string_view aWorkId,
                           std::string_view aReason);
 
+  //! What is known of the job.
+  JobState StateOf(std::string_view aWorkId) const;
+
+  //! Stops the job whichever entry VM submitted it, and starts no later
+  //! submission of it for CancelledWorks::kRetention. Sets aState to what was
+  //! known of the job, Cancelled if this ended it.
+  SchedulerEffects CancelJob(std::string_view aWorkId, JobState& aState);
+
   //! The entry VM was lost: cancels its work, as no caller waits for it.
   SchedulerEffects OnEntryVmLost(std::string_view aEntryVm);
 
--- a/include/hemlockhaven/scheduler/Work.h
+++ b/include/hemlockhaven/scheduler/Work.h
@@ -6,6 +6,7 @@
 #include "hemlockhaven/scheduler/Resources.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,25 @@
   std::uint32_t maxPerEndpoint = 0; //!< 0: no limit.
 };
 
+//! Identifies one submission of work among all of its entry VM. The number of
+//! earlier schedulers does not: another submission of the same job, after a
+//! disconnect or to another entry VM, counts them anew.
+struct SubmissionKey
+{
+  //! Number that the entry VM gave the work when it accepted it from a caller;
+  //! unique across restarts of its process.
+  std::uint64_t acceptance = 0;
+  //! Number of the submission within that; nullopt: not told.
+  std::optional<std::uint32_t> number;
+
+  //! Whether both may be the same submission.
+  bool Matches(const SubmissionKey& aOther) const
+  {
+    return acceptance == aOther.acceptance &&
+           (!number || !aOther.number || *number == *aOther.number);
+  }
+};
+
 //! A job whose caller waits for its result. Not persisted.
 struct Work
 {
@@ -61,6 +81,7 @@
   std::uint32_t submissions = 0; //!< Number of earlier schedulers that had it.
   //! Used by those schedulers, as last reported.
   EndpointsInUse priorEndpoints;
+  SubmissionKey key; //!< Returned with the answer.
 };
 
 }
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -7,6 +7,37 @@
 
 namespace hemlockhaven {
 
+namespace {
+
+//! First number of work that a process accepts. Incarnations are start times in
+//! ms, in which a process accepts far fewer than 2^20 works on average.
+std::uint64_t FirstAcceptance(std::uint64_t aIncarnation)
+{
+  constexpr unsigned kNumberBits = 20;
+  return aIncarnation << kNumberBits;
+}
+
+//! How much the schedulers of several services know: what one knows of a job
+//! goes before another's not knowing it.
+bool TellsMore(JobState aState, JobState aThan)
+{
+  const auto rank = [](JobState aOf) {
+    switch (aOf) {
+      case JobState::NotLeading:
+        return 0;
+      case JobState::Unknown:
+        return 1;
+      case JobState::Undecided:
+        return 2;
+      default:
+        return 3;
+    }
+  };
+  return rank(aState) > rank(aThan);
+}
+
+}
+
 Coordinator::Coordinator(Member aSelf,
                          const SchedulerPolicy& aPolicy,
                          const ElectionParameters& aTimes,
@@ -14,12 +45,14 @@
                          const Clock& aClock,
                          WallClock aWallClock)
   : name_(aSelf.name)
+  , incarnation_(aSelf.incarnation)
   , policy_(aPolicy)
   , hooks_(std::move(aHooks))
   , clock_(aClock)
   , division_(aSelf.zone)
   , election_(std::move(aSelf), aTimes, aClock, std::move(aWallClock))
-  , tracker_(aClock)
+  , tracker_(aClock, FirstAcceptance(incarnation_))
+  , queries_(aClock)
   , dice_(std::hash<std::string>()(name_))
 {
 }
@@ -166,6 +199,9 @@
       Apply(*scheduler, scheduler->OnEntryVmLost(name));
     }
   }
+  if (aEffects.newLeader || !aEffects.lostMembers.empty()) {
+    UpdateLeaders(); // Cancels go before the work that is resubmitted below.
+  }
   if (aEffects.newLeader) {
     LogDecision("leader",
                 aEffects.newLeader->empty() ? "none" : "known",
@@ -237,12 +273,188 @@
   Apply(tracker_.OnCallerDisconnect(aWorkId, aWaiterId));
 }
 
-bool Coordinator::Cancel(std::string_view aWorkId)
+void Coordinator::Apply(const JobQueryEffects& aEffects)
+{
+  for (const Decision& decision : aEffects.decisions) {
+    hooks_.logDecision(decision);
+  }
+  for (const auto& cancel : aEffects.confirmedCancels) {
+    Apply(tracker_.RememberCancel(cancel.workId));
+    // A leader that became known since the query was opened was not asked.
+    for (const KnownLeader& leader : election_.KnownLeaders()) {
+      if (cancel.askedLeaders.count(leader.name) == 0) {
+        SendCancelledJob(leader.name, cancel.workId);
+      }
+    }
+  }
+  for (const auto& [hook, answer] : aEffects.answers) {
+    if (hook) {
+      hook(answer);
+    }
+  }
+  for (const auto& message : aEffects.messages) {
+    SendJobQuery(message.leader, message.query);
+  }
+}
+
+std::uint64_t Coordinator::Term() const
+{
+  const std::lock_guard<std::mutex> lock(schedulersMutex_);
+  return token_;
+}
+
+void Coordinator::SendJobQuery(std::string_view aLeader, JobQuery aQuery)
+{
+  aQuery.term = Term();
+  if (aLeader == name_) {
+    OnJobQuery(name_, aQuery);
+  } else {
+    hooks_.sendJobQuery(aLeader, aQuery);
+  }
+}
+
+void Coordinator::SendCancelledJob(std::string_view aLeader,
+                                   std::string_view aWorkId)
+{
+  JobQuery query;
+  query.kind = JobQueryKind::Cancel;
+  query.workId = aWorkId;
+  SendJobQuery(aLeader, std::move(query));
+}
+
+void Coordinator::UpdateLeaders()
+{
+  const std::vector<KnownLeader> leaders = election_.KnownLeaders();
+  std::map<std::string, std::uint64_t> current;
+  std::vector<std::string> uninformed;
+  for (const KnownLeader& leader : leaders) {
+    current[leader.name] = leader.incarnation;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(informedLeadersMutex_);
+    for (const auto& [name, incarnation] : current) {
+      const auto found = informedLeaders_.find(name);
+      if (found == informedLeaders_.end() || found->second != incarnation) {
+        uninformed.push_back(name);
+      }
+    }
+    informedLeaders_ = std::move(current);
+  }
+  if (!uninformed.empty()) {
+    const std::vector<std::string> ids = tracker_.CancelledJobs();
+    for (const std::string& name : uninformed) {
+      for (const std::string& id : ids) {
+        SendCancelledJob(name, id);
+      }
+    }
+  }
+  Apply(queries_.Update(leaders));
+}
+
+void Coordinator::Cancel(std::string_view aWorkId,
+                         Duration aTimeout,
+                         JobAnswerHook aAnswer)
 {
   TrackerEffects effects;
-  const bool isKnown = tracker_.Cancel(aWorkId, effects);
+  const bool isCancelled = tracker_.Cancel(aWorkId, effects);
   Apply(std::move(effects));
-  return isKnown;
+  if (!isCancelled) {
+    Apply(queries_.Open(JobQueryKind::Cancel,
+                        aWorkId,
+                        election_.KnownLeaders(),
+                        aTimeout,
+                        std::move(aAnswer)));
+    return;
+  }
+  Decision decision;
+  decision.step = "cancel";
+  decision.workId = aWorkId;
+  decision.outcome = "acknowledged";
+  decision.detail = "known here";
+  hooks_.logDecision(decision);
+  // So that leaders start no copy of it that another daemon submits.
+  for (const KnownLeader& leader : election_.KnownLeaders()) {
+    SendCancelledJob(leader.name, aWorkId);
+  }
+  aAnswer({ JobState::Cancelled, {} });
+}
+
+void Coordinator::QueryState(std::string_view aWorkId,
+                             Duration aTimeout,
+                             JobAnswerHook aAnswer)
+{
+  if (tracker_.HasWaitingCaller(aWorkId)) {
+    aAnswer({ JobState::Running, {} });
+  } else if (tracker_.IsCancelled(aWorkId)) {
+    aAnswer({ JobState::Cancelled, {} });
+  } else {
+    Apply(queries_.Open(JobQueryKind::State,
+                        aWorkId,
+                        election_.KnownLeaders(),
+                        aTimeout,
+                        std::move(aAnswer)));
+  }
+}
+
+JobState Coordinator::AnswerJobQuery(const JobQuery& aQuery)
+{
+  JobState known = IsLeading() ? JobState::Unknown : JobState::NotLeading;
+  for (const auto& scheduler : Schedulers()) {
+    JobState state = JobState::Unknown;
+    if (aQuery.kind == JobQueryKind::Cancel) {
+      Apply(*scheduler, scheduler->CancelJob(aQuery.workId, state));
+    } else {
+      state = scheduler->StateOf(aQuery.workId);
+    }
+    if (TellsMore(state, known)) {
+      known = state;
+    }
+  }
+  return known;
+}
+
+void Coordinator::OnJobQuery(std::string_view aMember, const JobQuery& aQuery)
+{
+  const bool isFromSelf = aMember == name_;
+  std::string_view fault;
+  if (!IsWellFormed(aQuery)) {
+    fault = "malformed";
+  } else if (!isFromSelf && !election_.HasHeard(aMember)) {
+    fault = "unknown sender";
+  }
+  if (!fault.empty()) {
+    Decision decision;
+    decision.step = "job-query";
+    decision.outcome = "left out";
+    decision.detail = fault;
+    decision.inputs = "from=" + std::string(aMember);
+    hooks_.logDecision(decision);
+    return;
+  }
+  JobQueryReply reply;
+  reply.queryId = aQuery.id;
+  reply.state = AnswerJobQuery(aQuery);
+  if (aQuery.id == 0) {
+    return;
+  }
+  reply.term = Term();
+  if (reply.term == 0) {
+    reply.state = JobState::NotLeading; // It stepped down meanwhile.
+  }
+  if (reply.state == JobState::NotLeading) {
+    reply.term = 0;
+  }
+  if (isFromSelf) {
+    OnJobQueryReply(name_, reply);
+  } else {
+    hooks_.sendJobQueryReply(aMember, reply);
+  }
+}
+
+void Coordinator::OnJobQueryReply(std::string_view aMember,
+                                  const JobQueryReply& aReply)
+{
+  Apply(queries_.OnReply(aMember, aReply));
 }
 
 void Coordinator::OnHeartbeat(const Heartbeat& aHeartbeat)
@@ -272,6 +484,7 @@
     WorkAnswer answer;
     answer.entryVm = aEntryVm;
     answer.workId = std::move(aWork.id);
+    answer.key = aWork.key;
     answer.outcome = WorkOutcome::Moved;
     answer.reason = decision.detail;
     hooks_.sendAnswer(aEntryVm, answer);
@@ -423,6 +636,7 @@
     Apply(*scheduler, scheduler->Tick());
   }
   PublishEndpointsInUse();
+  UpdateLeaders();
   Apply(tracker_.Tick());
 }
 
--- a/src/front/SubmissionTracker.cpp
+++ b/src/front/SubmissionTracker.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kUnavailableRetryDelay{ 1000000 };
+constexpr std::string_view kCancelledByCaller = "cancelled by a caller";
 
 CallerOutcome OutcomeOf(WorkOutcome aOutcome)
 {
@@ -20,6 +21,7 @@
     case WorkOutcome::Refused:
       return CallerOutcome::Overloaded;
     case WorkOutcome::Cancelled:
+    case WorkOutcome::CancelledByCaller:
     case WorkOutcome::Moved:
       break;
   }
@@ -60,8 +62,10 @@
 
 }
 
-SubmissionTracker::SubmissionTracker(Clock aClock)
+SubmissionTracker::SubmissionTracker(Clock aClock,
+                                     std::uint64_t aFirstAcceptance)
   : clock_(std::move(aClock))
+  , nextAcceptance_(aFirstAcceptance)
 {
 }
 
@@ -112,6 +116,7 @@
   aEntry.leader = aLeader;
   aEntry.assigned = true;
   aEntry.work.submissions += again ? 1 : 0;
+  aEntry.work.key.number = aEntry.work.submissions;
   Work work = aEntry.work;
   work.age = aEntry.work.age + (aNow - aEntry.acceptedAt);
   work.callerTimeout = aEntry.deadline - aNow;
@@ -160,6 +165,15 @@
   }
   Shard& shard = ShardOf(aWork.id);
   const std::lock_guard<std::mutex> lock(shard.mutex);
+  if (shard.cancelled.Contains(aWork.id, now)) {
+    effects.decisions.push_back(
+      MakeDecision("answer", aWork.id, "cancelled", "cancelled before"));
+    effects.answers.emplace_back(std::move(aAnswer),
+                                 CallerAnswer{ CallerOutcome::Cancelled,
+                                               std::string(kCancelledByCaller),
+                                               Duration(0) });
+    return effects;
+  }
   const auto [found, isNew] = shard.entries.try_emplace(aWork.id);
   Entry& entry = found->second;
   if (!isNew) {
@@ -173,6 +187,7 @@
     return effects;
   }
   entry.work = std::move(aWork);
+  entry.work.key = { nextAcceptance_++, std::nullopt };
   entry.answer = std::move(aAnswer);
   entry.acceptedAt = now;
   entry.unassignedSince = now;
@@ -207,23 +222,78 @@
 bool SubmissionTracker::Cancel(std::string_view aWorkId,
                                TrackerEffects& aEffects)
 {
+  const TimePoint now = clock_();
   Shard& shard = ShardOf(aWorkId);
   const std::lock_guard<std::mutex> lock(shard.mutex);
   const auto found = shard.entries.find(std::string(aWorkId));
   if (found == shard.entries.end()) {
-    return false;
+    return shard.cancelled.Contains(aWorkId, now);
   }
   if (!found->second.leader.empty()) {
-    aEffects.cancellations.push_back(
-      { found->second.leader, std::string(aWorkId), "cancelled by a caller" });
+    aEffects.cancellations.push_back({ found->second.leader,
+                                       std::string(aWorkId),
+                                       std::string(kCancelledByCaller) });
   }
-  Finish(shard,
-         std::string(aWorkId),
-         { CallerOutcome::Cancelled, "cancelled by a caller", Duration(0) },
-         aEffects);
+  RememberCancel(shard, aWorkId, now, aEffects);
+  Finish(
+    shard,
+    std::string(aWorkId),
+    { CallerOutcome::Cancelled, std::string(kCancelledByCaller), Duration(0) },
+    aEffects);
   return true;
 }
 
+void SubmissionTracker::RememberCancel(Shard& aShard,
+                                       std::string_view aWorkId,
+                                       TimePoint aNow,
+                                       TrackerEffects& aEffects)
+{
+  if (aShard.cancelled.Add(aWorkId, aNow)) {
+    aEffects.decisions.push_back(
+      MakeDecision("cancel", "", "forgotten", "too many cancels"));
+  }
+}
+
+TrackerEffects SubmissionTracker::RememberCancel(std::string_view aWorkId)
+{
+  TrackerEffects effects;
+  const TimePoint now = clock_();
+  Shard& shard = ShardOf(aWorkId);
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  RememberCancel(shard, aWorkId, now, effects);
+  return effects;
+}
+
+std::vector<std::string> SubmissionTracker::CancelledJobs() const
+{
+  const TimePoint now = clock_();
+  std::vector<std::string> all;
+  for (const Shard& shard : shards_) {
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    const std::vector<std::string> ids = shard.cancelled.Ids(now);
+    all.insert(all.end(), ids.begin(), ids.end());
+  }
+  return all;
+}
+
+std::size_t SubmissionTracker::CancelledJobCount() const
+{
+  std::size_t sum = 0;
+  for (const Shard& shard : shards_) {
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    sum += shard.cancelled.Size();
+  }
+  return sum;
+}
+
+bool SubmissionTracker::IsCancelled(std::string_view aWorkId) const
+{
+  const TimePoint now = clock_();
+  const Shard& shard = ShardOf(aWorkId);
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  return shard.cancelled.Contains(aWorkId, now);
+}
+
 TrackerEffects SubmissionTracker::OnAnswer(const WorkAnswer& aAnswer,
                                            std::string_view aLeader)
 {
@@ -236,10 +306,29 @@
   Shard& shard = ShardOf(aAnswer.workId);
   const std::lock_guard<std::mutex> lock(shard.mutex);
   const auto found = shard.entries.find(aAnswer.workId);
-  if (found == shard.entries.end() || found->second.leader != aLeader) {
-    return effects; // Already answered, or since submitted to another leader.
+  if (found == shard.entries.end()) {
+    return effects; // Already answered.
   }
   Entry& entry = found->second;
+  const bool isForLast =
+    entry.leader == aLeader && entry.work.key.Matches(aAnswer.key);
+  if (aAnswer.outcome == WorkOutcome::CancelledByCaller) {
+    if (!isForLast && !entry.leader.empty()) {
+      effects.cancellations.push_back(
+        { entry.leader, aAnswer.workId, std::string(kCancelledByCaller) });
+    }
+    RememberCancel(shard, aAnswer.workId, now, effects);
+    Finish(shard,
+           aAnswer.workId,
+           { CallerOutcome::Cancelled, aAnswer.reason, Duration(0) },
+           effects);
+    return effects;
+  }
+  if (!isForLast) {
+    effects.decisions.push_back(MakeDecision(
+      "answer", aAnswer.workId, "ignored", "for an earlier submission"));
+    return effects;
+  }
   if (isMoved) {
     entry.assigned = false;
     entry.unassignedSince = now;
@@ -319,6 +408,7 @@
   const TimePoint now = clock_();
   for (Shard& shard : shards_) {
     const std::lock_guard<std::mutex> lock(shard.mutex);
+    shard.cancelled.Expire(now);
     std::vector<std::pair<std::string, std::string_view>> expired;
     for (auto& [id, entry] : shard.entries) {
       const Duration unassigned = now - entry.unassignedSince;
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -618,6 +618,31 @@
   return contacts;
 }
 
+std::vector<KnownLeader> LeaderElection::KnownLeaders() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<KnownLeader> leaders;
+  if (token_ != 0) {
+    leaders.push_back({ self_.name, self_.incarnation, token_ });
+  }
+  for (const auto& [address, state] : members_) {
+    const std::uint64_t term = state.lastHeartbeat.leaderToken;
+    if (state.alive && term != 0) {
+      leaders.push_back({ state.member.name, state.member.incarnation, term });
+    }
+  }
+  return leaders;
+}
+
+bool LeaderElection::HasHeard(std::string_view aName) const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::any_of(
+    members_.begin(), members_.end(), [aName](const auto& aPair) {
+      return aPair.second.heard && aPair.second.member.name == aName;
+    });
+}
+
 std::string LeaderElection::Leader() const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/link/LinkMessage.cpp
+++ b/src/link/LinkMessage.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <exception>
+#include <optional>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -55,10 +56,21 @@
                               std::uint32_t,
                               std::uint64_t,
                               std::uint64_t,
-                              std::string>;
-using AnswerFields = std::
-  tuple<std::string, std::uint32_t, std::string, std::int64_t, std::int64_t>;
+                              std::string,
+                              std::uint64_t,
+                              std::optional<std::uint32_t>>;
+using AnswerFields = std::tuple<std::string,
+                                std::uint32_t,
+                                std::string,
+                                std::int64_t,
+                                std::int64_t,
+                                std::uint64_t,
+                                std::optional<std::uint32_t>>;
 using CancelFields = std::tuple<std::string, std::string>;
+using JobQueryFields =
+  std::tuple<std::uint64_t, std::uint32_t, std::string, std::uint64_t>;
+using JobQueryReplyFields =
+  std::tuple<std::uint64_t, std::uint32_t, std::uint64_t>;
 
 MemberFields ToFields(const Member& aMember)
 {
@@ -103,6 +115,15 @@
            std::move(knownMembers) };
 }
 
+template<typename Enum>
+Enum ToEnum(std::uint32_t aValue, Enum aLast)
+{
+  if (aValue > static_cast<std::uint32_t>(aLast)) {
+    throw msgpack::type_error();
+  }
+  return static_cast<Enum>(aValue);
+}
+
 //! Rejects durations outside of 0 to kMaxHeartbeatDuration, whose multiples
 //! could overflow.
 Duration CheckedDuration(std::int64_t aMicros)
@@ -176,7 +197,9 @@
            aWork.submissions,
            aWork.priorEndpoints.listedBy,
            aWork.priorEndpoints.leftFrom,
-           aWork.priorEndpoints.part };
+           aWork.priorEndpoints.part,
+           aWork.key.acceptance,
+           aWork.key.number };
 }
 
 Work FromFields(WorkFields aFields)
@@ -200,7 +223,9 @@
            work.submissions,
            work.priorEndpoints.listedBy,
            work.priorEndpoints.leftFrom,
-           work.priorEndpoints.part) = std::move(aFields);
+           work.priorEndpoints.part,
+           work.key.acceptance,
+           work.key.number) = std::move(aFields);
   work.targetLatency = Duration(target);
   work.age = Duration(age);
   work.callerTimeout = Duration(callerTimeout);
@@ -224,11 +249,10 @@
 
 AnswerFields ToFields(const WorkAnswer& aAnswer)
 {
-  return { aAnswer.workId,
-           static_cast<std::uint32_t>(aAnswer.outcome),
-           aAnswer.reason,
-           aAnswer.retryAfter.count(),
-           aAnswer.waited.count() };
+  return { aAnswer.workId,         static_cast<std::uint32_t>(aAnswer.outcome),
+           aAnswer.reason,         aAnswer.retryAfter.count(),
+           aAnswer.waited.count(), aAnswer.key.acceptance,
+           aAnswer.key.number };
 }
 
 WorkAnswer FromFields(AnswerFields aFields)
@@ -237,12 +261,14 @@
   std::uint32_t outcome = 0;
   std::int64_t retryAfter = 0;
   std::int64_t waited = 0;
-  std::tie(answer.workId, outcome, answer.reason, retryAfter, waited) =
-    std::move(aFields);
-  if (outcome > static_cast<std::uint32_t>(WorkOutcome::Moved)) {
-    throw msgpack::type_error();
-  }
-  answer.outcome = static_cast<WorkOutcome>(outcome);
+  std::tie(answer.workId,
+           outcome,
+           answer.reason,
+           retryAfter,
+           waited,
+           answer.key.acceptance,
+           answer.key.number) = std::move(aFields);
+  answer.outcome = ToEnum(outcome, WorkOutcome::CancelledByCaller);
   answer.retryAfter = Duration(retryAfter);
   answer.waited = Duration(waited);
   return answer;
@@ -258,6 +284,53 @@
   return { std::move(std::get<0>(aFields)), std::move(std::get<1>(aFields)) };
 }
 
+JobQueryFields ToFields(const JobQuery& aQuery)
+{
+  return { aQuery.id,
+           static_cast<std::uint32_t>(aQuery.kind),
+           aQuery.workId,
+           aQuery.term };
+}
+
+JobQuery FromFields(JobQueryFields aFields)
+{
+  JobQuery query;
+  std::uint32_t kind = 0;
+  std::tie(query.id, kind, query.workId, query.term) = std::move(aFields);
+  query.kind = ToEnum(kind, JobQueryKind::Cancel);
+  return query;
+}
+
+JobQueryReplyFields ToFields(const JobQueryReply& aReply)
+{
+  return { aReply.queryId,
+           static_cast<std::uint32_t>(aReply.state),
+           aReply.term };
+}
+
+JobQueryReply FromFields(const JobQueryReplyFields& aFields)
+{
+  JobQueryReply reply;
+  std::uint32_t state = 0;
+  std::tie(reply.queryId, state, reply.term) = aFields;
+  reply.state = ToEnum(state, JobState::NotLeading);
+  return reply;
+}
+
+//! Decodes a job query or its reply; a default one if the fields are bad.
+template<typename Message, typename Fields>
+Message DecodeBounded(const msgpack::object& aFields, std::size_t aFrameBytes)
+{
+  if (aFrameBytes > kMaxJobQueryBytes) {
+    return {};
+  }
+  try {
+    return FromFields(aFields.as<Fields>());
+  } catch (const msgpack::type_error&) {
+    return {};
+  }
+}
+
 }
 
 std::string EncodeLinkMessage(const LinkMessage& aMessage)
@@ -302,6 +375,11 @@
         return FromFields(fields.as<AnswerFields>());
       case 3:
         return FromFields(fields.as<CancelFields>());
+      case 4:
+        return DecodeBounded<JobQuery, JobQueryFields>(fields, aBytes.size());
+      case 5:
+        return DecodeBounded<JobQueryReply, JobQueryReplyFields>(fields,
+                                                                 aBytes.size());
       default:
         return std::nullopt;
     }
--- a/src/scheduler/Scheduler.cpp
+++ b/src/scheduler/Scheduler.cpp
@@ -101,6 +101,21 @@
   });
 }
 
+JobState Scheduler::StateOf(std::string_view aWorkId) const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  state_->UpdateNow();
+  return state_->StateOf(std::string(aWorkId));
+}
+
+SchedulerEffects Scheduler::CancelJob(std::string_view aWorkId,
+                                      JobState& aState)
+{
+  return CallLocked(mutex_, *state_, [&](auto& aScheduler, auto& aEffects) {
+    aState = aScheduler.CancelJob(aWorkId, aEffects);
+  });
+}
+
 SchedulerEffects Scheduler::OnEntryVmLost(std::string_view aEntryVm)
 {
   return CallLocked(mutex_, *state_, [=](auto& aState, auto& aEffects) {
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -65,6 +65,9 @@
 void SchedulerState::StartTerm(std::uint64_t aFencingToken,
                                SchedulerEffects& aEffects)
 {
+  if (!IsLeading()) {
+    leadingSince_ = now_;
+  }
   token_ = aFencingToken;
   termStartedAt_ = now_;
   isNewTermWanted_ = false;
@@ -93,12 +96,12 @@
       SendAnswer(*entry, WorkOutcome::Moved, aReason, Duration(0), aEffects);
     }
     if (entry->waitingAttempt) {
-      aEffects.answers.push_back({ entry->waitingAttempt->entryVm,
-                                   id,
-                                   WorkOutcome::Moved,
-                                   std::string(aReason),
-                                   Duration(0),
-                                   Duration(0) });
+      AnswerSubmission(entry->waitingAttempt->entryVm,
+                       id,
+                       entry->waitingAttempt->work.key,
+                       WorkOutcome::Moved,
+                       aReason,
+                       aEffects);
     }
   }
   // Runs continue under the next leader, which finds them by its polls.
@@ -211,28 +214,27 @@
                             Work aWork,
                             SchedulerEffects& aEffects)
 {
-  const std::string entryVm(aEntryVm);
+  const auto answer = [&](WorkOutcome aOutcome, std::string_view aReason) {
+    AnswerSubmission(
+      aEntryVm, aWork.id, aWork.key, aOutcome, aReason, aEffects);
+  };
   if (!IsLeading()) {
-    aEffects.answers.push_back({ entryVm,
-                                 aWork.id,
-                                 WorkOutcome::Moved,
-                                 "not leading",
-                                 Duration(0),
-                                 Duration(0) });
+    answer(WorkOutcome::Moved, "not leading");
+    return;
+  }
+  const auto finished = finished_.find(aWork.id);
+  const bool isFinished = finished != finished_.end();
+  if (!isFinished && cancelled_.Contains(aWork.id, now_)) {
+    LogDecision(aEffects, "submit", aWork.id, nullptr, "cancelled before");
+    answer(WorkOutcome::CancelledByCaller, "cancelled by a caller");
     return;
   }
   if (WorkEntry* known = FindWork(aWork.id)) {
-    Join(*known, entryVm, std::move(aWork), aEffects);
+    Join(*known, aEntryVm, std::move(aWork), aEffects);
     return;
   }
-  const auto finished = finished_.find(aWork.id);
-  if (finished != finished_.end()) {
-    aEffects.answers.push_back({ entryVm,
-                                 aWork.id,
-                                 finished->second.outcome,
-                                 "ended before",
-                                 Duration(0),
-                                 Duration(0) });
+  if (isFinished) {
+    answer(finished->second.outcome, "ended before");
     return;
   }
   Admit(aEntryVm, std::move(aWork), aEffects);
@@ -247,12 +249,11 @@
   const bool isStopping = aEntry.IsAnswered();
   LogDecision(
     aEffects, "submit", id, nullptr, isStopping ? "after its stop" : "joined");
-  std::optional<std::string> superseded;
+  std::optional<WorkEntry::Superseded> superseded;
   if (isStopping) {
     superseded = aEntry.JoinAfterStop(aEntryVm, std::move(aWork), now_);
   } else {
-    superseded =
-      aEntry.Join(aEntryVm, now_ - aWork.age, now_ + aWork.callerTimeout);
+    superseded = aEntry.Join(aEntryVm, aWork, now_);
     if (aWork.submissions > aEntry.Spec().submissions) {
       aEntry.AddSubmissions(aWork.submissions, aWork.priorEndpoints);
       HoldWork(aEntry, aEffects);
@@ -260,22 +261,30 @@
   }
   if (superseded) {
     LogDecision(aEffects, "submit", id, nullptr, "superseded");
-    aEffects.decisions.back().inputs = "entryVm=" + *superseded;
-    CancelAttempt(*superseded, id, "sent again to another entry VM", aEffects);
+    aEffects.decisions.back().inputs = "entryVm=" + superseded->entryVm;
+    AnswerSubmission(superseded->entryVm,
+                     id,
+                     superseded->key,
+                     WorkOutcome::Cancelled,
+                     "sent again to another entry VM",
+                     aEffects);
   }
 }
 
-void SchedulerState::CancelAttempt(std::string_view aEntryVm,
-                                   std::string_view aWorkId,
-                                   std::string_view aReason,
-                                   SchedulerEffects& aEffects)
+void SchedulerState::AnswerSubmission(std::string_view aEntryVm,
+                                      const std::string& aWorkId,
+                                      const SubmissionKey& aKey,
+                                      WorkOutcome aOutcome,
+                                      std::string_view aReason,
+                                      SchedulerEffects& aEffects)
 {
-  aEffects.answers.push_back({ std::string(aEntryVm),
-                               std::string(aWorkId),
-                               WorkOutcome::Cancelled,
-                               std::string(aReason),
-                               Duration(0),
-                               Duration(0) });
+  WorkAnswer answer;
+  answer.entryVm = aEntryVm;
+  answer.workId = aWorkId;
+  answer.outcome = aOutcome;
+  answer.reason = aReason;
+  answer.key = aKey;
+  aEffects.answers.push_back(std::move(answer));
 }
 
 void SchedulerState::SendAnswer(WorkEntry& aEntry,
@@ -289,7 +298,8 @@
                                aOutcome,
                                std::string(aReason),
                                aRetryAfter,
-                               aEntry.Waited() });
+                               aEntry.Waited(),
+                               aEntry.AnsweredKey() });
   if (aOutcome == WorkOutcome::Completed || aOutcome == WorkOutcome::Failed) {
     finished_[aEntry.Spec().id] = { now_, aOutcome };
   }
@@ -327,8 +337,12 @@
     attempt->work.age += waited;
     attempt->work.callerTimeout -= waited;
     if (attempt->work.callerTimeout <= Duration(0)) {
-      CancelAttempt(
-        attempt->entryVm, aWorkId, "caller's deadline passed", aEffects);
+      AnswerSubmission(attempt->entryVm,
+                       aWorkId,
+                       attempt->work.key,
+                       WorkOutcome::Cancelled,
+                       "caller's deadline passed",
+                       aEffects);
       return;
     }
     Submit(attempt->entryVm, std::move(attempt->work), aEffects);
@@ -356,6 +370,70 @@
   Dispatch(aEffects);
 }
 
+JobState SchedulerState::StateOf(const std::string& aWorkId) const
+{
+  if (!IsLeading()) {
+    return JobState::NotLeading;
+  }
+  const auto finished = finished_.find(aWorkId);
+  if (finished != finished_.end()) {
+    return finished->second.outcome == WorkOutcome::Completed
+             ? JobState::Completed
+             : JobState::Failed;
+  }
+  if (cancelled_.Contains(aWorkId, now_)) {
+    return JobState::Cancelled;
+  }
+  const auto found = works_.find(aWorkId);
+  if (found == works_.end()) {
+    // Entry VMs resubmit within the time after which orphans are stopped.
+    return now_ - leadingSince_ <= policy_.orphanGracePeriod
+             ? JobState::Undecided
+             : JobState::Unknown;
+  }
+  const WorkEntry& entry = *found->second;
+  if (entry.IsAnswered()) {
+    return entry.waitingAttempt ? JobState::Queued : JobState::Cancelled;
+  }
+  return entry.HasStarted() ? JobState::Running : JobState::Queued;
+}
+
+JobState SchedulerState::CancelJob(std::string_view aWorkId,
+                                   SchedulerEffects& aEffects)
+{
+  const std::string id(aWorkId);
+  const JobState state = StateOf(id);
+  // Also where this daemon does not lead: it may do so next.
+  if (cancelled_.Add(id, now_)) {
+    LogDecision(
+      aEffects, "cancel", "", nullptr, "forgotten", "too many cancels");
+  }
+  if (state != JobState::Queued && state != JobState::Running &&
+      state != JobState::Cancelled) {
+    LogDecision(
+      aEffects, "cancel", aWorkId, nullptr, "remembered", NameOf(state));
+    return state;
+  }
+  constexpr std::string_view kReason = "cancelled by a caller";
+  WorkEntry* entry = FindWork(id);
+  if (entry != nullptr && entry->waitingAttempt) {
+    AnswerSubmission(entry->waitingAttempt->entryVm,
+                     id,
+                     entry->waitingAttempt->work.key,
+                     WorkOutcome::CancelledByCaller,
+                     kReason,
+                     aEffects);
+    entry->waitingAttempt.reset();
+  }
+  if (entry != nullptr && !entry->IsAnswered()) {
+    LogDecision(aEffects, "cancel", aWorkId, nullptr, "stopping", kReason);
+    FinishWork(
+      *entry, WorkOutcome::CancelledByCaller, kReason, Duration(0), aEffects);
+    Dispatch(aEffects);
+  }
+  return JobState::Cancelled;
+}
+
 void SchedulerState::OnEntryVmLost(std::string_view aEntryVm,
                                    SchedulerEffects& aEffects)
 {
@@ -365,7 +443,12 @@
       dropped.push_back(id);
     }
     if (entry->waitingAttempt && entry->waitingAttempt->entryVm == aEntryVm) {
-      CancelAttempt(aEntryVm, id, "entry VM lost", aEffects);
+      AnswerSubmission(aEntryVm,
+                       id,
+                       entry->waitingAttempt->work.key,
+                       WorkOutcome::Cancelled,
+                       "entry VM lost",
+                       aEffects);
       entry->waitingAttempt.reset();
     }
   }
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -3,7 +3,9 @@
 
 #include "hemlockhaven/fleet/Dice.h"
 #include "hemlockhaven/scheduler/AdmissionMargin.h"
+#include "hemlockhaven/scheduler/CancelledWorks.h"
 #include "hemlockhaven/scheduler/Forecast.h"
+#include "hemlockhaven/scheduler/JobState.h"
 #include "hemlockhaven/scheduler/Scheduler.h"
 #include "scheduler/EndpointEntry.h"
 #include "scheduler/WorkEntry.h"
@@ -46,6 +48,11 @@
               std::string_view aWorkId,
               std::string_view aReason,
               SchedulerEffects& aEffects);
+  //! What is known of the job.
+  JobState StateOf(const std::string& aWorkId) const;
+  //! Stops the job, whoever submitted it, and remembers that it was cancelled.
+  //! Returns what was known of it; Cancelled if this ended it.
+  JobState CancelJob(std::string_view aWorkId, SchedulerEffects& aEffects);
   void OnEntryVmLost(std::string_view aEntryVm, SchedulerEffects& aEffects);
   void OnStartReply(const StartCommand& aCommand,
                     const CommandReply& aReply,
@@ -192,10 +199,13 @@
             std::string_view aEntryVm,
             Work aWork,
             SchedulerEffects& aEffects);
-  static void CancelAttempt(std::string_view aEntryVm,
-                            std::string_view aWorkId,
-                            std::string_view aReason,
-                            SchedulerEffects& aEffects);
+  //! Answers a submission that has no state here.
+  static void AnswerSubmission(std::string_view aEntryVm,
+                               const std::string& aWorkId,
+                               const SubmissionKey& aKey,
+                               WorkOutcome aOutcome,
+                               std::string_view aReason,
+                               SchedulerEffects& aEffects);
   //! Answers the work and stops its active runs.
   void FinishWork(WorkEntry& aEntry,
                   WorkOutcome aOutcome,
@@ -248,6 +258,7 @@
   //! By entry VM; nullopt until it was set.
   std::optional<std::unordered_map<std::string, TimePoint>> followedUntil_;
   TimePoint termStartedAt_{};
+  TimePoint leadingSince_{}; //!< Terms that follow each other count as one.
   //! Work of another leader was submitted in this term.
   bool isNewTermWanted_ = false;
   ListPosition listPosition_;
@@ -278,6 +289,8 @@
     WorkOutcome outcome = WorkOutcome::Completed;
   };
   std::unordered_map<std::string, FinishedWork> finished_;
+  //! Kept when this scheduler stops leading: it may lead again.
+  CancelledWorks cancelled_;
   //! Tasks that completed before their work was submitted here, by work id.
   std::unordered_map<std::string, std::vector<TaskKey>> earlyCompletions_;
   TimePoint earlyCompletionsSince_{};
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -189,6 +189,7 @@
   isResuming_ = wasOutdated;
   const Duration sinceLastTick = now_ - lastTickAt_;
   lastTickAt_ = now_;
+  cancelled_.Expire(now_);
   if (!IsLeading()) {
     return;
   }
--- a/src/scheduler/WorkEntry.cpp
+++ b/src/scheduler/WorkEntry.cpp
@@ -16,6 +16,7 @@
 WorkEntry::WorkEntry(std::string aEntryVm, Work aWork, TimePoint aNow)
   : entryVm_(std::move(aEntryVm))
   , work_(std::move(aWork))
+  , answeredKey_(work_.key)
   , arrivedAt_(aNow)
   , attemptSentAt_(aNow - work_.age)
 {
@@ -45,26 +46,28 @@
   }
 }
 
-std::optional<std::string> WorkEntry::Join(std::string_view aEntryVm,
-                                           TimePoint aSentAt,
-                                           TimePoint aCallerDeadline)
+std::optional<WorkEntry::Superseded> WorkEntry::Join(std::string_view aEntryVm,
+                                                     const Work& aWork,
+                                                     TimePoint aNow)
 {
+  const TimePoint sentAt = aNow - aWork.age;
   if (aEntryVm == entryVm_) {
+    answeredKey_ = aWork.key;
     return std::nullopt;
   }
-  if (aSentAt < attemptSentAt_) {
-    return std::string(aEntryVm);
+  if (sentAt < attemptSentAt_) {
+    return Superseded{ std::string(aEntryVm), aWork.key };
   }
-  attemptSentAt_ = aSentAt;
-  work_.callerTimeout = std::max(
-    work_.callerTimeout,
-    std::chrono::duration_cast<Duration>(aCallerDeadline - arrivedAt_));
-  return std::exchange(entryVm_, std::string(aEntryVm));
+  attemptSentAt_ = sentAt;
+  work_.callerTimeout = std::max(work_.callerTimeout,
+                                 std::chrono::duration_cast<Duration>(
+                                   aNow + aWork.callerTimeout - arrivedAt_));
+  return Superseded{ std::exchange(entryVm_, std::string(aEntryVm)),
+                     std::exchange(answeredKey_, aWork.key) };
 }
 
-std::optional<std::string> WorkEntry::JoinAfterStop(std::string_view aEntryVm,
-                                                    Work aWork,
-                                                    TimePoint aNow)
+std::optional<WorkEntry::Superseded>
+WorkEntry::JoinAfterStop(std::string_view aEntryVm, Work aWork, TimePoint aNow)
 {
   WaitingAttempt attempt{ std::string(aEntryVm), std::move(aWork), aNow };
   if (!waitingAttempt || waitingAttempt->entryVm == aEntryVm) {
@@ -78,7 +81,7 @@
   Work& work = waitingAttempt->work;
   work.submissions = std::max(work.submissions, attempt.work.submissions);
   work.priorEndpoints.Add(attempt.work.priorEndpoints);
-  return attempt.entryVm;
+  return Superseded{ std::move(attempt.entryVm), attempt.work.key };
 }
 
 TaskEntry* WorkEntry::Find(std::uint32_t aStep, std::uint32_t aIndex)
--- a/src/scheduler/WorkEntry.h
+++ b/src/scheduler/WorkEntry.h
@@ -59,17 +59,25 @@
 
   const Work& Spec() const { return work_; }
   const std::string& EntryVm() const { return entryVm_; }
+  //! The submission that the answer is for.
+  const SubmissionKey& AnsweredKey() const { return answeredKey_; }
+  //! A submission that does not get the answer.
+  struct Superseded
+  {
+    std::string entryVm;
+    SubmissionKey key;
+  };
   //! Another attempt to submit the same work. The newest one has the waiting
-  //! caller, so its entry VM gets the answer. Returns the entry VM that does
-  //! not, or nullopt if they are the same.
-  std::optional<std::string> Join(std::string_view aEntryVm,
-                                  TimePoint aSentAt,
-                                  TimePoint aCallerDeadline);
+  //! caller, so its entry VM gets the answer. Returns the submission that does
+  //! not, or nullopt if both have the same entry VM.
+  std::optional<Superseded> Join(std::string_view aEntryVm,
+                                 const Work& aWork,
+                                 TimePoint aNow);
   //! The same while the runs of this one are being stopped: the newest attempt
   //! waits for their end.
-  std::optional<std::string> JoinAfterStop(std::string_view aEntryVm,
-                                           Work aWork,
-                                           TimePoint aNow);
+  std::optional<Superseded> JoinAfterStop(std::string_view aEntryVm,
+                                          Work aWork,
+                                          TimePoint aNow);
   //! Other schedulers had the work as well; aSubmissions counts them all.
   void AddSubmissions(std::uint32_t aSubmissions,
                       const EndpointsInUse& aPriorEndpoints);
@@ -130,6 +138,7 @@
 private:
   std::string entryVm_;
   Work work_;
+  SubmissionKey answeredKey_; //!< Of the newest attempt.
   TimePoint arrivedAt_;
   TimePoint attemptSentAt_; //!< When the caller sent the newest attempt.
   std::vector<TaskEntry> tasks_;
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -383,6 +383,18 @@
       [name, id = std::string(aWorkId), reason = std::string(aReason)](
         Coordinator& aNode) { aNode.OnCancel(name, id, reason); });
   };
+  hooks.sendJobQuery = [this, aDaemon, name](std::string_view aMember,
+                                             const JobQuery& aQuery) {
+    SendToMember(aDaemon, aMember, [name, aQuery](Coordinator& aNode) {
+      aNode.OnJobQuery(name, aQuery);
+    });
+  };
+  hooks.sendJobQueryReply = [this, aDaemon, name](std::string_view aMember,
+                                                  const JobQueryReply& aReply) {
+    SendToMember(aDaemon, aMember, [name, aReply](Coordinator& aNode) {
+      aNode.OnJobQueryReply(name, aReply);
+    });
+  };
   hooks.start = [this, aDaemon, answer](const StartCommand& aCommand,
                                         auto aReplied) {
     DaemonState& node = daemons_[aDaemon];
