Test cancels and state queries of a cluster in virtual time

A leader that may not know all others says so instead of denying a job: a zone that was cut off answered 410 for jobs of the others.

--- a/include/hemlockhaven/leadership/LeaderElection.h
+++ b/include/hemlockhaven/leadership/LeaderElection.h
@@ -172,6 +172,10 @@
   //! are divided among leaders, or during a change.
   std::vector<KnownLeader> KnownLeaders() const;
 
+  //! Whether no unreachable daemon is likely to lead: this one has a majority,
+  //! and an alive leader is known for each part whose leader was lost.
+  bool KnowsAllLeaders() const;
+
   //! Whether a heartbeat of a member of this name has arrived.
   bool HasHeard(std::string_view aName) const;
 
--- a/include/hemlockhaven/scheduler/JobState.h
+++ b/include/hemlockhaven/scheduler/JobState.h
@@ -15,8 +15,8 @@
   Completed,
   Failed,
   Cancelled,
-  //! The leader's term is so new that entry VMs may not have resubmitted the
-  //! job yet.
+  //! Not known, but it may exist: the leader's term is so new that entry VMs
+  //! may not have resubmitted it yet, or a daemon out of reach may lead it.
   Undecided,
   NotLeading,
 };
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -410,6 +410,9 @@
       known = state;
     }
   }
+  if (known == JobState::Unknown && !election_.KnowsAllLeaders()) {
+    return JobState::Undecided; // A leader out of reach may know the job.
+  }
   return known;
 }
 
--- a/src/front/JobQueries.cpp
+++ b/src/front/JobQueries.cpp
@@ -9,7 +9,7 @@
 constexpr std::string_view kNoLeader = "no leader is known";
 constexpr std::string_view kNoReply = "no leader replied in time";
 constexpr std::string_view kTooMany = "too many open queries";
-constexpr std::string_view kNewTerm = "the leader's term is too new";
+constexpr std::string_view kUndecided = "the leader cannot tell yet";
 
 Decision MakeDecision(std::string_view aWorkId,
                       std::string_view aOutcome,
@@ -110,7 +110,7 @@
   if (!IsDecided(query)) {
     answer.reason = kNoReply;
   } else if (query.isUndecided) {
-    answer.reason = kNewTerm;
+    answer.reason = kUndecided;
   } else {
     answer.state = JobState::Unknown;
   }
--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -634,6 +634,31 @@
   return leaders;
 }
 
+bool LeaderElection::KnowsAllLeaders() const
+{
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::set<std::string_view> ledParts;
+  std::set<std::string_view> lostParts;
+  if (token_ != 0) {
+    ledParts.insert(part_);
+  }
+  for (const auto& [address, state] : members_) {
+    const Heartbeat& last = state.lastHeartbeat;
+    if (last.leaderToken == 0 || last.leaving) {
+      continue;
+    }
+    if (state.alive) {
+      ledParts.insert(last.part);
+    } else if (now_ - state.heardAt <= parameters_.memberRetention) {
+      lostParts.insert(last.part);
+    }
+  }
+  return HasMajority() && std::includes(ledParts.begin(),
+                                        ledParts.end(),
+                                        lostParts.begin(),
+                                        lostParts.end());
+}
+
 bool LeaderElection::HasHeard(std::string_view aName) const
 {
   const std::lock_guard<std::mutex> lock(mutex_);
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -65,6 +65,9 @@
         int& active = active_[name];
         active += began ? 1 : -1;
         runCount_ += began ? 1 : 0;
+        if (began) {
+          lastStarts_[aEvent.task.workId] = time_.Now();
+        }
         if (trace) {
           trace(std::to_string(time_.Now().time_since_epoch().count() / 1000 %
                                1000000) +
@@ -529,6 +532,38 @@
               });
 }
 
+void Cluster::Cancel(std::size_t aDaemon, const std::string& aWorkId)
+{
+  daemons_[aDaemon].coordinator->Cancel(
+    aWorkId, JobQueries::kTimeout, [this](const JobAnswer& aAnswer) {
+      jobStates_.push_back(aAnswer.state);
+    });
+}
+
+void Cluster::QueryState(std::size_t aDaemon, const std::string& aWorkId)
+{
+  daemons_[aDaemon].coordinator->QueryState(
+    aWorkId, JobQueries::kTimeout, [this](const JobAnswer& aAnswer) {
+      jobStates_.push_back(aAnswer.state);
+    });
+}
+
+std::optional<TimePoint> Cluster::LastStart(const std::string& aWorkId) const
+{
+  const auto found = lastStarts_.find(aWorkId);
+  return found == lastStarts_.end() ? std::nullopt
+                                    : std::optional<TimePoint>(found->second);
+}
+
+std::size_t Cluster::ActiveRuns(const std::string& aWorkId) const
+{
+  std::size_t sum = 0;
+  for (const auto& [task, count] : active_) {
+    sum += task.rfind(aWorkId + ".", 0) == 0 && count > 0 ? 1 : 0;
+  }
+  return sum;
+}
+
 std::vector<std::string> Cluster::UnansweredWorks() const
 {
   std::vector<std::string> ids;
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -76,6 +76,16 @@
   void Disconnect(const std::string& aWorkId);
   std::vector<std::string> UnansweredWorks() const;
 
+  //! A caller cancels the job, or reads its state, at a daemon that runs. The
+  //! answer appears in JobStates.
+  void Cancel(std::size_t aDaemon, const std::string& aWorkId);
+  void QueryState(std::size_t aDaemon, const std::string& aWorkId);
+  //! Answers to Cancel and QueryState in the order of their arrival.
+  const std::vector<JobState>& JobStates() const { return jobStates_; }
+  //! When a run of the work began last; nullopt: none did.
+  std::optional<TimePoint> LastStart(const std::string& aWorkId) const;
+  std::size_t ActiveRuns(const std::string& aWorkId) const;
+
   void Kill(std::size_t aDaemon);
   void Restart(std::size_t aDaemon);
   void Pause(std::size_t aDaemon, Duration aFor);
@@ -248,6 +258,8 @@
   std::map<std::string, std::uint64_t> waiterIds_; //!< By work id.
   std::vector<std::string> overlappingTasks_;
   std::size_t runCount_ = 0;
+  std::map<std::string, TimePoint> lastStarts_; //!< By work id.
+  std::vector<JobState> jobStates_;
   std::vector<std::size_t> startCounts_; //!< By endpoint.
   std::vector<std::string> evacuatedZones_;
 };
