Deny a job only if each leader or its successor has denied it

A query whose leader and next leader were both lost was answered 410. Each lost leader now gets one successor, and a second loss leads to 503.

--- a/include/hemlockhaven/front/JobQueries.h
+++ b/include/hemlockhaven/front/JobQueries.h
@@ -92,12 +92,17 @@
     JobQuery message;
     JobAnswerHook answer;
     TimePoint deadline{};
-    //! Leaders that have not replied, and their terms when they were asked.
-    std::map<std::string, std::uint64_t> pending;
+    struct Pending
+    {
+      std::uint64_t term = 0; //!< When it was asked.
+      bool isNext = false;    //!< Asked in place of a lost one.
+    };
+    std::map<std::string, Pending> pending; //!< Leaders without a reply.
     std::set<std::string> asked;
-    bool isLeaderLost = false; //!< One that had not replied.
-    bool isResent = false;
-    bool isUndecided = false; //!< A leader could not tell.
+    //! Leaders that were lost without a reply, with no next one asked yet.
+    std::size_t lostLeaders = 0;
+    //! Why this cannot be found out any more, unless a leader knows the job.
+    std::string_view obstacle;
   };
 
   struct Shard
@@ -111,8 +116,10 @@
   Shard& ShardOf(std::uint64_t aId) { return shards_[aId % kShardCount]; }
   static void Send(Query& aQuery,
                    const KnownLeader& aLeader,
+                   bool aIsNext,
                    JobQueryEffects& aEffects);
-  //! Sends the query once more if a leader was lost and another is known.
+  static void OnLeaderLost(Query& aQuery, const Query::Pending& aPending);
+  //! Sends the query once more for each leader that was lost.
   static void Resend(Query& aQuery,
                      Span<const KnownLeader> aLeaders,
                      JobQueryEffects& aEffects);
--- a/src/front/JobQueries.cpp
+++ b/src/front/JobQueries.cpp
@@ -9,6 +9,7 @@
 constexpr std::string_view kNoLeader = "no leader is known";
 constexpr std::string_view kNoReply = "no leader replied in time";
 constexpr std::string_view kTooMany = "too many open queries";
+constexpr std::string_view kLost = "two leaders in a row were lost";
 constexpr std::string_view kUndecided = "the leader cannot tell yet";
 
 Decision MakeDecision(std::string_view aWorkId,
@@ -32,9 +33,10 @@
 
 void JobQueries::Send(Query& aQuery,
                       const KnownLeader& aLeader,
+                      bool aIsNext,
                       JobQueryEffects& aEffects)
 {
-  aQuery.pending.emplace(aLeader.name, aLeader.term);
+  aQuery.pending[aLeader.name] = { aLeader.term, aIsNext };
   aQuery.asked.insert(aLeader.name);
   aEffects.messages.push_back({ aLeader.name, aQuery.message });
 }
@@ -70,7 +72,7 @@
   effects.decisions.push_back(MakeDecision(
     aWorkId, "sent", aKind == JobQueryKind::Cancel ? "cancel" : "state"));
   for (const KnownLeader& leader : aLeaders) {
-    Send(query, leader, effects);
+    Send(query, leader, false, effects);
   }
   return effects;
 }
@@ -98,7 +100,7 @@
 
 bool JobQueries::IsDecided(const Query& aQuery)
 {
-  return aQuery.pending.empty() && (!aQuery.isLeaderLost || aQuery.isResent);
+  return aQuery.pending.empty() && aQuery.lostLeaders == 0;
 }
 
 void JobQueries::FinishWithoutState(Shard& aShard,
@@ -109,8 +111,8 @@
   JobAnswer answer;
   if (!IsDecided(query)) {
     answer.reason = kNoReply;
-  } else if (query.isUndecided) {
-    answer.reason = kUndecided;
+  } else if (!query.obstacle.empty()) {
+    answer.reason = query.obstacle;
   } else {
     answer.state = JobState::Unknown;
   }
@@ -142,17 +144,19 @@
     reject("the sender was not asked");
     return effects;
   }
-  if (aReply.state != JobState::NotLeading && aReply.term < pending->second) {
+  if (aReply.state != JobState::NotLeading &&
+      aReply.term < pending->second.term) {
     reject("of an earlier term");
     return effects;
   }
+  const Query::Pending asked = pending->second;
   query.pending.erase(pending);
   switch (aReply.state) {
     case JobState::NotLeading:
-      query.isLeaderLost = true;
-      return effects; // The next Update finds the next leader.
+      OnLeaderLost(query, asked); // The next Update finds the next leader.
+      break;
     case JobState::Undecided:
-      query.isUndecided = true;
+      query.obstacle = kUndecided;
       break;
     case JobState::Unknown:
       break;
@@ -166,19 +170,25 @@
   return effects;
 }
 
+void JobQueries::OnLeaderLost(Query& aQuery, const Query::Pending& aPending)
+{
+  if (aPending.isNext) {
+    aQuery.obstacle = kLost;
+  } else {
+    ++aQuery.lostLeaders;
+  }
+}
+
 void JobQueries::Resend(Query& aQuery,
                         Span<const KnownLeader> aLeaders,
                         JobQueryEffects& aEffects)
 {
-  if (!aQuery.isLeaderLost || aQuery.isResent) {
-    return;
-  }
   for (const KnownLeader& leader : aLeaders) {
-    if (aQuery.asked.count(leader.name) == 0) {
-      aQuery.isResent = true;
+    if (aQuery.lostLeaders > 0 && aQuery.asked.count(leader.name) == 0) {
+      --aQuery.lostLeaders;
       aEffects.decisions.push_back(MakeDecision(
         aQuery.message.workId, "sent again", "to the next leader"));
-      Send(aQuery, leader, aEffects);
+      Send(aQuery, leader, true, aEffects);
     }
   }
 }
@@ -206,7 +216,7 @@
         } else {
           // It may lead again, as another process of the same name.
           query.asked.erase(entry->first);
-          query.isLeaderLost = true;
+          OnLeaderLost(query, entry->second);
           entry = query.pending.erase(entry);
         }
       }
--- a/tests/link/LinkTest.cpp
+++ b/tests/link/LinkTest.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,6 +56,11 @@
   return work;
 }
 
+JobQuery MakeJobQuery()
+{
+  return { 3, JobQueryKind::Cancel, "w", 8 };
+}
+
 //! Runs the context until the condition holds; false after 5 seconds.
 bool RunUntil(net::io_context& aContext, const std::function<bool()>& aIsDone)
 {
@@ -105,6 +111,133 @@
   const auto answered = std::get<WorkAnswer>(*DecodeLinkMessage(answerBytes));
   CHECK(answered.outcome == WorkOutcome::Refused);
   LONGS_EQUAL(9, answered.retryAfter.count());
+
+  const auto query =
+    std::get<JobQuery>(*DecodeLinkMessage(EncodeLinkMessage(MakeJobQuery())));
+  LONGS_EQUAL(3, query.id);
+  CHECK(query.kind == JobQueryKind::Cancel);
+  STRCMP_EQUAL("w", query.workId.c_str());
+  LONGS_EQUAL(8, query.term);
+
+  const JobQueryReply sent{ 3, JobState::Running, 9 };
+  const auto reply =
+    std::get<JobQueryReply>(*DecodeLinkMessage(EncodeLinkMessage(sent)));
+  LONGS_EQUAL(3, reply.queryId);
+  CHECK(reply.state == JobState::Running);
+  LONGS_EQUAL(9, reply.term);
+}
+
+// An answer that does not name its submission ends a later one.
+TEST(LinkMessage, KeepsTheKeyOfASubmission)
+{
+  Work work = MakeWork();
+  work.key = { std::uint64_t{ 1 } << 60U, 4 };
+  const std::string workBytes = EncodeLinkMessage(work);
+  CHECK(std::get<Work>(*DecodeLinkMessage(workBytes)).key.Matches(work.key));
+  WorkAnswer answer;
+  answer.outcome = WorkOutcome::CancelledByCaller;
+  answer.key = work.key;
+  const std::string answerBytes = EncodeLinkMessage(answer);
+  const auto decoded = std::get<WorkAnswer>(*DecodeLinkMessage(answerBytes));
+  CHECK(decoded.outcome == WorkOutcome::CancelledByCaller);
+  LONGS_EQUAL(4, *decoded.key.number);
+  CHECK(decoded.key.Matches(work.key));
+  CHECK_FALSE(decoded.key.Matches({ work.key.acceptance, 3 }));
+  CHECK_FALSE(decoded.key.Matches({ 1, 4 }));
+}
+
+namespace {
+
+//! A frame of the current version with these encoded fields.
+std::string PackMessage(std::uint8_t aType, const std::string& aFields)
+{
+  return std::string{ char(0x93), 5, char(aType) } + aFields;
+}
+
+struct BadQueryRow
+{
+  const char* guardsAgainst;
+  std::string bytes;
+};
+
+const BadQueryRow kBadQueryRows[] = {
+  { "a loss of the sender for a query of an unknown kind",
+    PackMessage(4, { char(0x94), 3, 2, char(0xa1), 'w', 0 }) },
+  { "the same for a negative id",
+    PackMessage(4, { char(0x94), char(0xff), 1, char(0xa1), 'w', 0 }) },
+  { "the same for a job id that is a number",
+    PackMessage(4, { char(0x94), 3, 1, 7, 0 }) },
+  { "the same for missing fields", PackMessage(4, { char(0x91), 3 }) },
+  { "the same for fields that are no array", PackMessage(4, { 3 }) },
+  { "the same for an empty job id",
+    PackMessage(4, { char(0x94), 3, 1, char(0xa0), 0 }) },
+  { "the same for a job id that is too long",
+    EncodeLinkMessage(
+      JobQuery{ 3, JobQueryKind::Cancel, std::string(65, 'a'), 0 }) },
+  { "a query over its bound in bytes",
+    EncodeLinkMessage(
+      JobQuery{ 3, JobQueryKind::Cancel, std::string(300, 'a'), 0 }) },
+  { "a reply with an unknown state", PackMessage(5, { char(0x93), 3, 8, 9 }) },
+  { "a reply to no query", PackMessage(5, { char(0x93), 0, 2, 9 }) },
+  { "a state that was told by no leader",
+    PackMessage(5, { char(0x93), 3, 2, 0 }) },
+};
+
+bool IsWellFormedQuery(const LinkMessage& aMessage)
+{
+  if (const auto* query = std::get_if<JobQuery>(&aMessage)) {
+    return IsWellFormed(*query);
+  }
+  const auto* reply = std::get_if<JobQueryReply>(&aMessage);
+  return reply != nullptr && IsWellFormed(*reply);
+}
+
+}
+
+// A frame that cannot be decoded ends its connection, and with it the work of
+// the sender.
+TEST(LinkMessage, DecodesBadQueriesAsNotWellFormed)
+{
+  for (const BadQueryRow& row : kBadQueryRows) {
+    const auto decoded = DecodeLinkMessage(row.bytes);
+    CHECK_TEXT(decoded.has_value(), row.guardsAgainst);
+    CHECK_TEXT(decoded->index() >= 4, row.guardsAgainst);
+    CHECK_FALSE_TEXT(IsWellFormedQuery(*decoded), row.guardsAgainst);
+  }
+}
+
+// Guards against a crash and against bounds that some mutated frame passes.
+TEST(LinkMessage, BoundsMutatedQueries)
+{
+  std::mt19937 random(1); // Fixed seed.
+  const LinkMessage samples[] = { MakeJobQuery(),
+                                  JobQueryReply{ 3, JobState::Running, 9 } };
+  int wellFormed = 0;
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes = EncodeLinkMessage(samples[i % 2]);
+    for (std::uint32_t change = 0; change <= random() % 3; ++change) {
+      const std::size_t at = random() % bytes.size();
+      switch (random() % 3) {
+        case 0:
+          bytes[at] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.insert(at, random() % 300, static_cast<char>(random()));
+          break;
+        default:
+          bytes.resize(at + 1);
+          break;
+      }
+    }
+    const auto decoded = DecodeLinkMessage(bytes);
+    if (!decoded || !IsWellFormedQuery(*decoded)) {
+      continue;
+    }
+    ++wellFormed;
+    CHECK(bytes.size() <= kMaxJobQueryBytes);
+    CHECK(DecodeLinkMessage(EncodeLinkMessage(*decoded)).has_value());
+  }
+  CHECK(wellFormed > 100);
 }
 
 TEST(LinkMessage, RejectsValuesOutOfRange)
