--- a/tests/adapter/EntryQueriesTest.cpp
+++ b/tests/adapter/EntryQueriesTest.cpp
@@ -19,6 +19,8 @@
 //! The interface for callers of a daemon without other daemons or endpoints.
 class EntryFixture
 {
+  TimePoint now_{ std::chrono::hours(1) }; // Read by the constructor.
+
 public:
   EntryFixture()
     : coordinator(
@@ -105,7 +107,6 @@
     return hooks;
   }
 
-  TimePoint now_{ std::chrono::hours(1) };
   RouteTable routes_;
   EntryApi api_;
 };
