--- a/tests/support/ManualScheduler.cpp
+++ b/tests/support/ManualScheduler.cpp
@@ -107,6 +107,7 @@
   work.id = aId;
   work.kind = "k";
   work.submissions = aSubmissions;
+  work.key = { ++submissionCount_, aSubmissions };
   work.age = Ms(aAgeMs);
   work.attempts = 3;
   work.stretch = 9;
@@ -125,6 +126,13 @@
   Apply(scheduler_.Cancel(aEntryVm, aId, "caller left"));
 }
 
+JobState ManualScheduler::CancelJob(std::string_view aId)
+{
+  JobState state = JobState::Unknown;
+  Apply(scheduler_.CancelJob(aId, state));
+  return state;
+}
+
 void ManualScheduler::LoseEntryVm(std::string_view aEntryVm)
 {
   Apply(scheduler_.OnEntryVmLost(aEntryVm));
@@ -186,6 +194,8 @@
   decisions.insert(
     decisions.end(), aEffects.decisions.begin(), aEffects.decisions.end());
   for (const WorkAnswer& answer : aEffects.answers) {
+    answered.push_back(answer.entryVm + " " +
+                       std::to_string(answer.key.acceptance));
     if (answer.outcome == WorkOutcome::Refused) {
       refused.push_back(answer.reason);
     }
--- a/tests/support/ManualScheduler.h
+++ b/tests/support/ManualScheduler.h
@@ -41,6 +41,8 @@
               std::int64_t aAgeMs = 0,
               std::uint32_t aSubmissions = 0);
   void Cancel(std::string_view aEntryVm, std::string_view aId);
+  //! A caller cancels the job at any daemon.
+  JobState CancelJob(std::string_view aId);
   void LoseEntryVm(std::string_view aEntryVm);
 
   //! Ends all runs at the endpoint; its next report lists them.
@@ -58,6 +60,9 @@
   std::vector<std::string> stopEndpoints; //!< Where, in the same order.
   //! "ENTRY-VM ID", for each answer with the outcome Cancelled.
   std::vector<std::string> cancelled;
+  //! "ENTRY-VM NUMBER" of the submission that each answer names. Submissions
+  //! are numbered from 1.
+  std::vector<std::string> answered;
   std::vector<PollCommand> polls; //!< All that were sent.
   std::vector<Decision> decisions;
 
@@ -76,6 +81,7 @@
   std::map<std::string, std::int64_t> listedIncarnations_;
   std::set<std::string> startsUnanswered_;
   std::size_t listedCount_ = 0;
+  std::uint64_t submissionCount_ = 0;
 };
 
 }
