--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -71,6 +71,9 @@
         int& active = active_[name];
         active += began ? 1 : -1;
         runCount_ += began ? 1 : 0;
+        if (began) {
+          lastStarts_[aEvent.task.workId] = time_.Now();
+        }
         if (trace) {
           trace(std::to_string(time_.Now().time_since_epoch().count() / 1000 %
                                1000000) +
@@ -405,6 +408,18 @@
       [name, id = std::string(aWorkId), reason = std::string(aReason)](
         Coordinator& aNode) { aNode.OnCancel(name, id, reason); });
   };
+  hooks.sendJobQuery = [this, aDaemon, name](std::string_view aMember,
+                                             const JobQuery& aQuery) {
+    SendToMember(aDaemon, aMember, [name, aQuery](Coordinator& aNode) {
+      aNode.OnJobQuery(name, aQuery);
+    });
+  };
+  hooks.sendJobQueryReply = [this, aDaemon, name](std::string_view aMember,
+                                                  const JobQueryReply& aReply) {
+    SendToMember(aDaemon, aMember, [name, aReply](Coordinator& aNode) {
+      aNode.OnJobQueryReply(name, aReply);
+    });
+  };
   hooks.start = [this, aDaemon, answer](const StartCommand& aCommand,
                                         auto aReplied) {
     DaemonState& node = daemons_[aDaemon];
@@ -539,6 +554,38 @@
               });
 }
 
+void Cluster::Cancel(std::size_t aDaemon, const std::string& aWorkId)
+{
+  daemons_[aDaemon].coordinator->Cancel(
+    aWorkId, JobQueries::kTimeout, [this](const JobAnswer& aAnswer) {
+      jobStates_.push_back(aAnswer.state);
+    });
+}
+
+void Cluster::QueryState(std::size_t aDaemon, const std::string& aWorkId)
+{
+  daemons_[aDaemon].coordinator->QueryState(
+    aWorkId, JobQueries::kTimeout, [this](const JobAnswer& aAnswer) {
+      jobStates_.push_back(aAnswer.state);
+    });
+}
+
+std::optional<TimePoint> Cluster::LastStart(const std::string& aWorkId) const
+{
+  const auto found = lastStarts_.find(aWorkId);
+  return found == lastStarts_.end() ? std::nullopt
+                                    : std::optional<TimePoint>(found->second);
+}
+
+std::size_t Cluster::ActiveRuns(const std::string& aWorkId) const
+{
+  std::size_t sum = 0;
+  for (const auto& [task, count] : active_) {
+    sum += task.rfind(aWorkId + ".", 0) == 0 && count > 0 ? 1 : 0;
+  }
+  return sum;
+}
+
 std::vector<std::string> Cluster::UnansweredWorks() const
 {
   std::vector<std::string> ids;
