Refuse work of groups over their share first when capacity is short

Admission took work in order of arrival, so that all kinds paid for the burst of one, and Work::priority had no effect.

Entry VMs shed groups over their share of the leader's processor first.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -1,6 +1,7 @@
 #ifndef HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
 #define HEMLOCKHAVEN_COORDINATOR_COORDINATOR_H
 
+#include "hemlockhaven/admission/RoomShares.h"
 #include "hemlockhaven/coordinator/LoadShedding.h"
 #include "hemlockhaven/coordinator/PartDivision.h"
 #include "hemlockhaven/core/Span.h"
@@ -133,8 +134,10 @@
   //! Also done before this daemon leads, since a term may start between ticks.
   void PublishEndpointsInUse();
   std::vector<std::shared_ptr<Scheduler>> Schedulers() const;
-  //! Draws whether new work is refused because the leader is overloaded.
-  bool ShouldShed();
+  //! Draws whether new work is refused because the leader is overloaded. With
+  //! sharesRoom, work of groups over their share of the leader's processor is
+  //! refused first; this daemon's callers are taken as a sample of all.
+  bool ShouldShed(const Work& aWork);
   void Apply(Scheduler& aScheduler, const SchedulerEffects& aEffects);
   void Apply(TrackerEffects aEffects);
   void Apply(const ElectionEffects& aEffects);
@@ -153,7 +156,8 @@
   LeaderElection election_;
   SubmissionTracker tracker_;
   std::mutex sheddingMutex_;
-  LoadShedding shedding_; //!< sheddingMutex_ guards this and the next two.
+  LoadShedding shedding_; //!< sheddingMutex_ guards this and the next three.
+  RoomShares arrivals_;   //!< Leader's processor time that was asked for here.
   Dice dice_;
   double lastLoggedShare_ = 0;
   mutable std::mutex schedulersMutex_;
--- a/include/hemlockhaven/scheduler/SchedulerPolicy.h
+++ b/include/hemlockhaven/scheduler/SchedulerPolicy.h
@@ -1,8 +1,11 @@
 #ifndef HEMLOCKHAVEN_SCHEDULER_SCHEDULERPOLICY_H
 #define HEMLOCKHAVEN_SCHEDULER_SCHEDULERPOLICY_H
 
+#include "hemlockhaven/admission/RoomShares.h"
 #include "hemlockhaven/core/Time.h"
 
+#include <functional>
+
 namespace hemlockhaven {
 
 //! Timeouts and limits of a scheduler. The defaults suit tasks of 50 ms to 1 s
@@ -71,6 +74,16 @@
   Duration finishedRetention{ 5000000 };
   //! Shortest retry delay that a refused caller is told.
   Duration minRetryAfter{ 1000000 };
+  //! Whether scarce capacity is divided among groups of callers (RoomShares);
+  //! otherwise work is taken in order of arrival.
+  bool sharesRoom = false;
+  //! Room that work of a group over its share leaves free, as a part of the
+  //! time that it may wait.
+  double reservedSlack = 0.5;
+  //! Replaces the rule by which accepted work gives way to new work, with
+  //! sharesRoom; for comparisons with other rules.
+  std::function<bool(const RoomClaim& aAccepted, const RoomClaim& aNew)>
+    givesWay;
 };
 
 }
--- a/src/coordinator/Coordinator.cpp
+++ b/src/coordinator/Coordinator.cpp
@@ -186,7 +186,7 @@
 std::uint64_t Coordinator::Accept(Work aWork, AnswerHook aAnswer)
 {
   std::uint64_t waiterId = 0;
-  if (!tracker_.HasWaitingCaller(aWork.id) && ShouldShed()) {
+  if (!tracker_.HasWaitingCaller(aWork.id) && ShouldShed(aWork)) {
     Apply(
       tracker_.Refuse(aWork.id, std::move(aAnswer), "the leader is too busy"));
   } else {
@@ -195,14 +195,25 @@
   return waiterId;
 }
 
-bool Coordinator::ShouldShed()
+bool Coordinator::ShouldShed(const Work& aWork)
 {
   const double share = election_.LeaderShedShare();
-  if (share <= 0) {
+  if (share <= 0 && !policy_.sharesRoom) {
     return false;
   }
   const std::lock_guard<std::mutex> lock(sheddingMutex_);
-  return dice_.NextShare() < share;
+  if (!policy_.sharesRoom) {
+    return dice_.NextShare() < share;
+  }
+  // A leader spends about as much on the job itself as on one task.
+  RoomClaim claim{ aWork.kind, aWork.priority, 1 };
+  for (const WorkStep& step : aWork.steps) {
+    claim.amount += step.count;
+  }
+  const TimePoint now = clock_();
+  arrivals_.RecordAsked(claim, now);
+  return share > 0 &&
+         dice_.NextShare() < arrivals_.ExcessOf(claim.group, share, now);
 }
 
 void Coordinator::RecordTimerDelay(Duration aDelay, Duration aInterval)
--- a/src/scheduler/SchedulerAdmission.cpp
+++ b/src/scheduler/SchedulerAdmission.cpp
@@ -16,10 +16,6 @@
 //! the same share of the queue and of the work's tasks. Its cost does not grow
 //! with the fleet, and a sample of this size is representative.
 constexpr std::size_t kMaxForecastEndpoints = 64;
-//! Similar work is refused without a forecast for this long after a refusal.
-//! Shorter than the shortest task, so that few resources become free in it;
-//! saves most forecasts under overload.
-constexpr Duration kRefusalReuseTime{ 4000 };
 //! Expected remaining time of an overdue run, as a factor on its predicted
 //! time: the mean excess of a log-normal run time with the users' spread of
 //! 0.4.
@@ -103,15 +99,18 @@
   return forecast;
 }
 
+RecentRefusals::Entry SchedulerState::RefusalOf(const WorkEntry& aEntry) const
+{
+  return { policy_.sharesRoom ? std::string_view(aEntry.Spec().kind)
+                              : std::string_view(),
+           aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0),
+           TotalCpuMillis(aEntry) };
+}
+
 bool SchedulerState::ResemblesLastRefusal(const WorkEntry& aEntry) const
 {
-  if (now_ - lastRefusalAt_ > kRefusalReuseTime) {
-    return false;
-  }
-  // Requires as much as the refused work, in no more time.
-  const Duration slack = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
-  return slack <= lastRefusalSlack_ &&
-         TotalCpuMillis(aEntry) >= lastRefusalCpuMillis_;
+  return refusals_.Resembles(RefusalOf(aEntry), now_) &&
+         !(policy_.sharesRoom && shares_.IsSizeBehind(ClaimOf(aEntry)));
 }
 
 std::int64_t SchedulerState::TotalCpuMillis(const WorkEntry& aEntry) const
@@ -125,9 +124,46 @@
 
 void SchedulerState::RememberRefusal(const WorkEntry& aEntry)
 {
-  lastRefusalAt_ = now_;
-  lastRefusalSlack_ = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
-  lastRefusalCpuMillis_ = TotalCpuMillis(aEntry);
+  refusals_.Record(RefusalOf(aEntry), now_);
+}
+
+RoomClaim SchedulerState::ClaimOf(const WorkEntry& aEntry) const
+{
+  RoomClaim claim;
+  claim.group = aEntry.Spec().kind;
+  claim.priority = aEntry.Spec().priority;
+  for (std::uint32_t i = 0; i < aEntry.Spec().steps.size(); ++i) {
+    const WorkStep& step = aEntry.Spec().steps[i];
+    claim.amount += static_cast<double>(step.count) *
+                    static_cast<double>(step.taskResources.cpuMillis) *
+                    static_cast<double>(PredictTask(aEntry, i).count());
+  }
+  return claim;
+}
+
+Duration SchedulerState::ReserveFor(const WorkEntry& aEntry) const
+{
+  if (!policy_.sharesRoom) {
+    return Duration(0);
+  }
+  const double room = shares_.RoomToLeave(ClaimOf(aEntry), now_);
+  const Duration slack = aEntry.LatestEnd() - now_ - PredictTask(aEntry, 0);
+  return std::max(
+    Duration(0),
+    Duration(static_cast<std::int64_t>(static_cast<double>(slack.count()) *
+                                       policy_.reservedSlack * room)));
+}
+
+bool SchedulerState::CanDisplace(const WorkEntry& aQueued,
+                                 const WorkEntry& aNew) const
+{
+  if (aQueued.HasStarted() || aQueued.heldUntil ||
+      aQueued.Spec().submissions > 0) {
+    return false;
+  }
+  return policy_.givesWay ? policy_.givesWay(ClaimOf(aQueued), ClaimOf(aNew))
+                          : aQueued.Spec().priority > aNew.Spec().priority &&
+                              !shares_.IsSizeBehind(ClaimOf(aQueued));
 }
 
 std::optional<TimePoint> SchedulerState::PlaceWaitingTasks(
@@ -165,9 +201,12 @@
 }
 
 SchedulerState::AdmissionResult SchedulerState::EvaluateAdmission(
-  const WorkEntry& aEntry) const
+  const WorkEntry& aEntry,
+  const Displaced& aDisplaced,
+  WorkEntry** aCandidate) const
 {
   const std::size_t stride = SampleStride();
+  const Duration reserve = ReserveFor(aEntry);
   Forecast forecast = MakeForecast(stride);
   std::size_t number = 0;
   TimePoint backlogEnd = now_;
@@ -190,9 +229,19 @@
       verdict.retryAfter = *end + margin - aEntry.LatestEnd();
       return false;
     }
+    if (number > 0 && *end + margin + reserve > aEntry.LatestEnd()) {
+      verdict.reason = "leaves no room for groups under their share";
+      verdict.retryAfter = *end + margin + reserve - aEntry.LatestEnd();
+      return false;
+    }
     return true;
   };
-  const auto placeQueued = [&](const WorkEntry& aQueued) {
+  const auto placeQueued = [&](WorkEntry& aQueued) {
+    if (aCandidate != nullptr && CanDisplace(aQueued, aEntry)) {
+      // The last one before the work that would be late has used the room that
+      // is missing.
+      *aCandidate = &aQueued;
+    }
     const auto end = PlaceWaitingTasks(forecast, aQueued, 1);
     if (!end) {
       return true;
@@ -208,12 +257,17 @@
     return true;
   };
   // Held work starts later than all other work, whatever its latest end.
-  std::vector<const WorkEntry*> held;
+  std::vector<WorkEntry*> held;
   for (const auto& [key, queued] : queue_) {
     if (queued->heldUntil) {
       held.push_back(queued);
       continue;
     }
+    if (!aDisplaced.empty() &&
+        std::find(aDisplaced.begin(), aDisplaced.end(), queued) !=
+          aDisplaced.end()) {
+      continue;
+    }
     if (!isChecked && aEntry.LatestEnd() < key.first && !checkOwnEnd()) {
       return verdict;
     }
@@ -269,6 +323,66 @@
   RequestNewTerm(aEffects);
 }
 
+SchedulerState::AdmissionResult SchedulerState::DecideAdmission(
+  const WorkEntry& aEntry,
+  Displaced& aDisplaced)
+{
+  // Each further forecast costs as much as the first.
+  constexpr std::size_t kMaxDisplaced = 2;
+  const RoomClaim claim = ClaimOf(aEntry);
+  const bool mayDisplace =
+    policy_.sharesRoom && ReserveFor(aEntry) == Duration(0) &&
+    (policy_.givesWay || shares_.MayDisplace(claim, now_));
+  WorkEntry* candidate = nullptr;
+  AdmissionResult verdict =
+    EvaluateAdmission(aEntry, aDisplaced, mayDisplace ? &candidate : nullptr);
+  while (!verdict.accepted && candidate != nullptr &&
+         aDisplaced.size() < kMaxDisplaced) {
+    aDisplaced.push_back(candidate);
+    candidate = nullptr;
+    verdict = EvaluateAdmission(aEntry, aDisplaced, &candidate);
+  }
+  if (!verdict.accepted) {
+    aDisplaced.clear();
+  }
+  return verdict;
+}
+
+void SchedulerState::WithdrawClaim(const WorkEntry& aEntry)
+{
+  if (policy_.sharesRoom && !aEntry.HasStarted()) {
+    shares_.RecordWithdrawn(ClaimOf(aEntry), aEntry.ArrivedAt(), now_);
+  }
+}
+
+void SchedulerState::Displace(WorkEntry& aEntry, SchedulerEffects& aEffects)
+{
+  constexpr const char* kReason = "gives way to more urgent work";
+  WithdrawClaim(aEntry);
+  LogDecision(
+    aEffects, "admit", aEntry.Spec().id, nullptr, "displaced", kReason);
+  aEffects.decisions.back().inputs = DescribeInputs(aEntry);
+  FinishWork(aEntry,
+             WorkOutcome::Refused,
+             kReason,
+             DrawRetryAfter(policy_.minRetryAfter),
+             aEffects);
+}
+
+Duration SchedulerState::DrawRetryAfter(Duration aExpected)
+{
+  const Duration expected = std::max(aExpected, policy_.minRetryAfter);
+  // Adds jitter of up to the same time, to spread the retries; with shares, of
+  // the time that serving all refused callers takes if that is longer.
+  const Duration spread = policy_.sharesRoom
+                            ? std::max(expected, shares_.ReturnTime(now_))
+                            : expected;
+  const double ratio =
+    static_cast<double>(spread.count()) / static_cast<double>(expected.count());
+  return Duration(static_cast<std::int64_t>(
+    static_cast<double>(expected.count()) * (1 + ratio * dice_.NextShare())));
+}
+
 void SchedulerState::Admit(std::string_view aEntryVm,
                            Work aWork,
                            SchedulerEffects& aEffects)
@@ -278,7 +392,14 @@
   WorkEntry& entry = *newEntry;
   SetObjective(entry);
   AdmissionResult verdict;
-  if (!CanEverRun(entry)) {
+  Displaced displaced;
+  const bool isServable = CanEverRun(entry);
+  const bool isAccounted = policy_.sharesRoom && isServable;
+  const RoomClaim claim = isAccounted ? ClaimOf(entry) : RoomClaim();
+  if (isAccounted) {
+    shares_.RecordAsked(claim, now_);
+  }
+  if (!isServable) {
     verdict.reason =
       endpoints_.empty() ? "no endpoints are known" : "no suitable endpoint";
     verdict.retryAfter = policy_.minRetryAfter;
@@ -289,26 +410,29 @@
     verdict.reason = "like work that was refused just now";
     verdict.retryAfter = policy_.minRetryAfter;
   } else {
-    verdict = EvaluateAdmission(entry);
+    verdict = DecideAdmission(entry, displaced);
     if (!verdict.accepted) {
       RememberRefusal(entry);
     }
   }
   if (!verdict.accepted) {
     margin_.RecordImmediateRefusal(now_);
-    // Adds jitter of up to the same time, to spread the retries.
-    const double spread = 1 + dice_.NextShare();
-    const auto wait = static_cast<std::int64_t>(
-      static_cast<double>(
-        std::max(verdict.retryAfter, policy_.minRetryAfter).count()) *
-      spread);
+    const Duration wait = DrawRetryAfter(verdict.retryAfter);
+    if (isAccounted) {
+      shares_.RecordRefused(claim, now_);
+    }
     LogDecision(
       aEffects, "admit", entry.Spec().id, nullptr, "refused", verdict.reason);
     aEffects.decisions.back().inputs = DescribeInputs(entry);
-    SendAnswer(
-      entry, WorkOutcome::Refused, verdict.reason, Duration(wait), aEffects);
+    SendAnswer(entry, WorkOutcome::Refused, verdict.reason, wait, aEffects);
     return;
   }
+  for (WorkEntry* other : displaced) {
+    Displace(*other, aEffects);
+  }
+  if (isAccounted) {
+    shares_.RecordGiven(claim, now_);
+  }
   LogDecision(aEffects, "admit", entry.Spec().id, nullptr, "accepted");
   aEffects.decisions.back().inputs = DescribeInputs(entry);
   works_.emplace(entry.Spec().id, std::move(newEntry));
--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -104,6 +104,8 @@
   // Runs continue under the next leader, which finds them by its polls.
   works_.clear();
   queue_.clear();
+  // The accounts would be out of date in a later term.
+  shares_ = RoomShares();
   finished_.clear();
   earlyCompletions_.clear();
   for (auto& [id, endpoint] : endpoints_) {
--- a/src/scheduler/SchedulerState.h
+++ b/src/scheduler/SchedulerState.h
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKHAVEN_SRC_SCHEDULER_SCHEDULERSTATE_H
 #define HEMLOCKHAVEN_SRC_SCHEDULER_SCHEDULERSTATE_H
 
+#include "hemlockhaven/admission/RecentRefusals.h"
+#include "hemlockhaven/admission/RoomShares.h"
 #include "hemlockhaven/fleet/Dice.h"
 #include "hemlockhaven/scheduler/AdmissionMargin.h"
 #include "hemlockhaven/scheduler/Forecast.h"
@@ -77,13 +79,36 @@
     std::string reason;
     Duration retryAfter{ 0 };
   };
-  AdmissionResult EvaluateAdmission(const WorkEntry& aEntry) const;
+  //! Accepted work that gives way to new work.
+  using Displaced = std::vector<WorkEntry*>;
+  //! Evaluates the work as if aDisplaced were not queued. If it is refused and
+  //! aCandidate is set, sets it to the queued work that is to give way next.
+  AdmissionResult EvaluateAdmission(const WorkEntry& aEntry,
+                                    const Displaced& aDisplaced,
+                                    WorkEntry** aCandidate) const;
+  //! Admission of work that was not submitted before, with the shares of the
+  //! groups if they are enabled.
+  AdmissionResult DecideAdmission(const WorkEntry& aEntry,
+                                  Displaced& aDisplaced);
+  RoomClaim ClaimOf(const WorkEntry& aEntry) const;
+  //! Whether queued work gives way to new work. Its refusal has to be true, so
+  //! it must not have started anywhere.
+  bool CanDisplace(const WorkEntry& aQueued, const WorkEntry& aNew) const;
+  //! Removes accepted work that never started from its group's account.
+  void WithdrawClaim(const WorkEntry& aEntry);
+  //! Refuses accepted work in favour of new work.
+  void Displace(WorkEntry& aEntry, SchedulerEffects& aEffects);
+  //! Time that the work has to leave free for others before its latest end.
+  Duration ReserveFor(const WorkEntry& aEntry) const;
+  //! When a refused caller is to return, with jitter.
+  Duration DrawRetryAfter(Duration aExpected);
   //! A forecast includes every n-th endpoint.
   std::size_t SampleStride() const;
   Forecast MakeForecast(std::size_t aStride) const;
   //! Whether work that needed no more resources and had at least as much time
-  //! was refused just before.
+  //! was refused just before; with shares, of the same group.
   bool ResemblesLastRefusal(const WorkEntry& aEntry) const;
+  RecentRefusals::Entry RefusalOf(const WorkEntry& aEntry) const;
   //! For the log.
   std::string DescribeInputs(const WorkEntry& aEntry) const;
   void RememberRefusal(const WorkEntry& aEntry);
@@ -261,10 +286,8 @@
   WorkMap works_;
   Queue queue_;
   RunTimeModel runTimes_;
-  // The last refusal for lack of resources.
-  TimePoint lastRefusalAt_{};
-  Duration lastRefusalSlack_{ 0 };
-  std::int64_t lastRefusalCpuMillis_ = 0; //!< Of all its tasks.
+  RecentRefusals refusals_; //!< For lack of resources.
+  RoomShares shares_;
   // Valid during a dispatch.
   std::vector<EndpointEntry*> usableEndpoints_;
   double fastestSpeed_ = 0;            //!< Among the usable endpoints.
--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -168,6 +168,7 @@
                             IsLate(aEntry, aEntry.Tasks().front());
   if (!aEntry.HasStarted() && (age > uselessAfter || isOverloaded)) {
     margin_.RecordLateRefusal(now_);
+    WithdrawClaim(aEntry);
     FinishWork(aEntry,
                WorkOutcome::Refused,
                "cannot end in time any more",
--- a/tests/adapter/RecordsTest.cpp
+++ b/tests/adapter/RecordsTest.cpp
@@ -455,4 +455,16 @@
   STRCMP_CONTAINS("cores", parsed.errors[0].c_str());
   STRCMP_CONTAINS("callers", parsed.errors[1].c_str());
   LONGS_EQUAL(1, ParseSettings("[").errors.size());
+  CHECK_FALSE(ParseSettings(good).settings.sharesRoom);
+  const auto withShares = [&good](const char* aValue) {
+    return ParseSettings(
+      Replace(good,
+              "\"logLevel\"",
+              std::string("\"sharesRoom\":") + aValue + ",\"logLevel\""));
+  };
+  CHECK(withShares("true").settings.sharesRoom);
+  CHECK(withShares("true").errors.empty());
+  LONGS_EQUAL(1, withShares("1").errors.size());
+  STRCMP_CONTAINS("sharesRoom: expected true or false, found 1",
+                  withShares("1").errors[0].c_str());
 }
--- a/tests/support/Cluster.cpp
+++ b/tests/support/Cluster.cpp
@@ -173,7 +173,7 @@
   node.member.incarnation = node.incarnation;
   node.coordinator = std::make_unique<Coordinator>(
     node.member,
-    SchedulerPolicy(),
+    options_.policy,
     ElectionParameters(),
     MakeHooks(aDaemon),
     time_.AsClock(),
--- a/tests/support/Cluster.h
+++ b/tests/support/Cluster.h
@@ -57,6 +57,7 @@
     //! How late the endpoints' timers are at most, so that runs end after their
     //! lease.
     Duration endpointTimerDelay{ 0 };
+    SchedulerPolicy policy;
   };
 
   explicit Cluster(const Options& aOptions);
--- a/tests/support/LoadReplay.cpp
+++ b/tests/support/LoadReplay.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 #include <sstream>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace hemlockhaven::Testing {
 
@@ -27,6 +29,7 @@
   double meanRunTimeMs = 0; //!< Mean over the job's tasks.
   double longestTaskMs = 0; //!< Run time of the longest task.
   double value = 0;
+  double size = 0; //!< Core time.
   TimePoint sent{};
 };
 
@@ -39,6 +42,7 @@
     , cluster_(MakeOptions(aPattern, aSeed))
   {
     cluster_.work = [this](const TaskKey& aTask) {
+      startedJobs_.insert(aTask.workId);
       // Seeded by task, so that all runs of a task take equally long.
       Dice dice(std::hash<std::string>()(aTask.workId) + aTask.index);
       const double factor = 1 + kTaskSpread * (2 * dice.NextShare() - 1);
@@ -64,10 +68,12 @@
       }
       const TimePoint time =
         begin + Duration(static_cast<std::int64_t>(at * 1e6));
-      cluster_.Time().ScheduleAt(
-        time, [this, kind, number] { SubmitJob(kind, number); });
+      cluster_.Time().ScheduleAt(time, [this, kind, number, at] {
+        SubmitJob(kind, number, SizeFactorAt(kind, at));
+      });
       ++number;
     }
+    ScheduleReclaim(begin);
     constexpr Duration kDrainTime{ 8000000 };
     cluster_.Time().RunFor(
       Duration(static_cast<std::int64_t>(pattern_.seconds * 1e6)) + kDrainTime);
@@ -82,6 +88,7 @@
     options.endpoints = aPattern.endpoints;
     options.speeds = aPattern.speeds;
     options.seed = aSeed;
+    options.policy = aPattern.policy;
     return options;
   }
 
@@ -94,6 +101,41 @@
     return aMeanMs * (1 + kTaskSpread * (2 * dice.NextShare() - 1));
   }
 
+  void ScheduleReclaim(TimePoint aBegin)
+  {
+    const auto count = static_cast<std::size_t>(
+      pattern_.reclaim.share * static_cast<double>(pattern_.endpoints));
+    if (count == 0) {
+      return;
+    }
+    const TimePoint notice =
+      aBegin +
+      Duration(static_cast<std::int64_t>(pattern_.reclaim.noticeSecond * 1e6));
+    std::set<std::size_t> reclaimed;
+    for (std::size_t i = 0; i < count; ++i) {
+      reclaimed.insert(i * pattern_.endpoints / count);
+    }
+    cluster_.Time().ScheduleAt(
+      notice, [this, reclaimed] { cluster_.ListEndpoints(reclaimed); });
+    cluster_.Time().ScheduleAt(notice + Duration(2000000), [this, reclaimed] {
+      for (const std::size_t endpoint : reclaimed) {
+        cluster_.CrashEndpoint(endpoint);
+      }
+    });
+  }
+
+  double SizeFactorAt(std::size_t aKind, double aSecond) const
+  {
+    double factor = 1;
+    for (const LoadBurst& burst : pattern_.bursts) {
+      if (burst.kind == aKind && aSecond >= burst.startSecond &&
+          aSecond < burst.endSecond) {
+        factor *= burst.sizeFactor;
+      }
+    }
+    return factor;
+  }
+
   double RateAt(std::size_t aKind, double aSecond) const
   {
     double sum = 0;
@@ -139,15 +181,18 @@
                     aMean * std::exp(aSpread * normal - aSpread * aSpread / 2));
   }
 
-  void SubmitJob(std::size_t aKind, std::size_t aNumber)
+  void SubmitJob(std::size_t aKind, std::size_t aNumber, double aSizeFactor)
   {
     const LoadKind& kind = pattern_.kinds.at(aKind);
     Work work;
     work.id = "j" + std::to_string(aNumber);
     work.kind = kind.name;
+    work.priority = kind.priority;
     WorkStep step;
-    step.count = static_cast<std::uint32_t>(std::max(
-      1.0, std::round(DrawLogNormal(kind.meanTasks, kLogNormalSigma))));
+    step.count = static_cast<std::uint32_t>(
+      std::max(1.0,
+               std::round(DrawLogNormal(aSizeFactor * kind.meanTasks,
+                                        kLogNormalSigma))));
     step.taskResources.cpuMillis = static_cast<std::int64_t>(
       DrawLogNormal(kind.cpuMillis, kCpuLogNormalSigma));
     step.taskResources.memoryMb = 64;
@@ -163,6 +208,8 @@
     const double size =
       step.count * job.meanRunTimeMs / (kind.meanTasks * kind.meanRunTimeMs);
     job.value = kind.value * std::min(4.0, 0.3 + 0.7 * size);
+    job.size = step.count * job.meanRunTimeMs *
+               static_cast<double>(step.taskResources.cpuMillis);
     job.sent = cluster_.Time().Now();
     work.steps.push_back(std::move(step));
     work.attempts = 3;
@@ -173,9 +220,43 @@
     cluster_.Submit(0, std::move(work));
   }
 
+  //! The sizes from which on the jobs of a kind are in its largest 0.3 and in
+  //! its largest 0.1.
+  std::pair<double, double> SizeLimits(std::size_t aKind) const
+  {
+    std::vector<double> sizes;
+    for (const auto& [id, job] : jobs_) {
+      if (job.kind == aKind) {
+        sizes.push_back(job.size);
+      }
+    }
+    if (sizes.empty()) {
+      return { 0, 0 };
+    }
+    std::sort(sizes.begin(), sizes.end());
+    return { sizes[sizes.size() * 7 / 10], sizes[sizes.size() * 9 / 10] };
+  }
+
+  static void Count(JobCounts& aCounts, bool aCompleted, bool aOnTime)
+  {
+    ++aCounts.submitted;
+    aCounts.onTime += aOnTime ? 1 : 0;
+    aCounts.late += aCompleted && !aOnTime ? 1 : 0;
+    aCounts.refused += aCompleted ? 0 : 1;
+  }
+
   LoadResult ComputeResult(TimePoint aBegin)
   {
     LoadResult result;
+    std::array<std::pair<double, double>, 3> sizeLimits;
+    for (std::size_t kind = 0; kind < sizeLimits.size(); ++kind) {
+      sizeLimits.at(kind) = SizeLimits(kind);
+    }
+    for (const auto& [id, answer] : cluster_.Answers()) {
+      result.answers += id + ' ' + answer.answer.reason + ' ' +
+                        std::to_string(answer.answer.retryAfter.count()) + ' ' +
+                        std::to_string(answer.latency.count()) + '\n';
+    }
     std::array<double, 3> submittedValue{};
     std::array<double, 3> onTimeValue{};
     std::map<std::int64_t, std::pair<double, double>> windows;
@@ -199,6 +280,19 @@
         result.refusedImmediately +=
           answer->second.latency <= kImmediate ? 1 : 0;
       }
+      result.refusedAfterStart +=
+        answer != cluster_.Answers().end() &&
+            answer->second.answer.outcome == CallerOutcome::Overloaded
+          ? startedJobs_.count(id)
+          : 0;
+      KindResult& kind = result.kinds.at(job.kind);
+      const auto& [fifth, tenth] = sizeLimits.at(job.kind);
+      Count(kind.all, completed, onTime);
+      Count(job.size >= tenth   ? kind.largest
+            : job.size >= fifth ? kind.fifth
+                                : kind.rest,
+            completed,
+            onTime);
       auto& window = windows[(job.sent - aBegin) / Duration(2000000)];
       const double earnedValue = onTime ? job.value : 0;
       submittedValue.at(job.kind) += job.value;
@@ -230,6 +324,7 @@
   const LoadPattern& pattern_;
   Dice dice_;
   std::unordered_map<std::string, Job> jobs_;
+  std::unordered_set<std::string> startedJobs_;
   Cluster cluster_;
 };
 
@@ -252,4 +347,20 @@
   return text.str();
 }
 
+std::string DescribeKinds(const LoadPattern& aPattern,
+                          const LoadResult& aResult)
+{
+  std::ostringstream text;
+  text.precision(3);
+  for (std::size_t i = 0; i < aResult.kinds.size(); ++i) {
+    const KindResult& kind = aResult.kinds.at(i);
+    text << (i > 0 ? ", " : "") << aPattern.kinds.at(i).name << ' '
+         << kind.all.OnTimeShare() << " (late " << kind.all.late << ", refused "
+         << kind.all.refused << "; rest " << kind.rest.OnTimeShare()
+         << ", fifth " << kind.fifth.OnTimeShare() << ", largest "
+         << kind.largest.OnTimeShare() << ')';
+  }
+  return text.str();
+}
+
 }
