--- a/src/scheduler/SchedulerState.cpp
+++ b/src/scheduler/SchedulerState.cpp
@@ -116,6 +116,8 @@
   // Runs continue under the next leader, which finds them by its polls.
   works_.clear();
   queue_.clear();
+  // The accounts would be out of date in a later term.
+  shares_ = RoomShares();
   finished_.clear();
   finishedOrder_.clear();
   earlyCompletions_.clear();
--- a/tests/scheduler/UsableEndpointsTest.cpp
+++ b/tests/scheduler/UsableEndpointsTest.cpp
@@ -80,13 +80,13 @@
   //! Whether the list equals one that is built anew.
   bool IsListCurrent() const
   {
-    constexpr Duration kResponseTimeout = SchedulerPolicy().responseTimeout;
+    const Duration responseTimeout = SchedulerPolicy().responseTimeout;
     auto kept = state_.Usable();
     std::vector<std::string> expected;
     std::int64_t maxFree = -1;
     double fastest = 0;
     for (const auto& [id, endpoint] : state_.Endpoints()) {
-      if (endpoint.IsUsable(now_, kResponseTimeout)) {
+      if (endpoint.IsUsable(now_, responseTimeout)) {
         maxFree = std::max(maxFree, endpoint.free.cpuMillis);
         fastest = std::max(fastest, endpoint.speed.Value());
         if (endpoint.free.cpuMillis >= 0) {
@@ -94,7 +94,7 @@
         }
       }
     }
-    kept.Update(now_, kResponseTimeout);
+    kept.Update(now_, responseTimeout);
     std::vector<std::string> found;
     for (const Detail::EndpointEntry* endpoint : kept.WithFreeCpu(0)) {
       found.push_back(endpoint->listed.id);
