--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -85,7 +85,7 @@
   //! aName must outlive the object.
   DecisionInputs& Add(const char* aName, std::int64_t aValue);
 
-  bool empty() const { return text_.empty() && count_ == 0; }
+  bool IsEmpty() const { return text_.empty() && count_ == 0; }
   std::string Text() const;
 
   friend std::ostream& operator<<(std::ostream& aStream,
