Let the soak's endpoints reply with the incarnation that is listed

Cause: the soak listed a start time of its own, while the stand-in endpoint reported its process's. Since nothing starts by the record of another incarnation, the soak served nothing. The platform's endpoints report the same start time everywhere.

--- a/soak/Fleet.cpp
+++ b/soak/Fleet.cpp
@@ -243,6 +243,7 @@
     "--id",         slot.id,
     "--cpu-millis", std::to_string(Kind().endpointCpuMillis),
     "--speed",      std::to_string(speeds[aEndpoint % speeds.size()]),
+    "--born",       std::to_string(slot.bornMs),
   };
   slot.process = std::make_unique<Testing::Process>(
     options_.endpointProgram, arguments, eventFiles_.back());
--- a/src/net/ConnectionPlan.h
+++ b/src/net/ConnectionPlan.h
@@ -24,8 +24,8 @@
                                std::size_t aDescriptors,
                                std::size_t aWantedConnections);
 
-//! Makes the allocator return freed bodies to the system at once. Call it before
-//! the first connection.
+//! Makes the allocator return freed bodies to the system at once. Call it
+//! before the first connection.
 void ReturnFreedBodies();
 
 //! The process's limit of open descriptors.
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -53,10 +53,11 @@
 public:
   Server(boost::asio::io_context& aContext,
          std::string aId,
+         std::int64_t aBornMs,
          std::int64_t aCpuMillis,
          double aSpeed)
     : id_(std::move(aId))
-    , bornMs_(WallNowMs())
+    , bornMs_(aBornMs)
     , endpoint_(
         { SteadyNow,
           [&aContext](Duration aDelay, std::function<void()> aEvent) {
@@ -216,6 +217,7 @@
   std::string address;
   std::uint16_t port = 0;
   std::string id;
+  std::int64_t bornMs = WallNowMs();
   std::int64_t cpuMillis = 16000;
   double speed = 1;
   std::size_t count = 0;
@@ -227,6 +229,8 @@
                  count,
                  "Endpoints in this process: ID-0 at the port, ID-1 at the "
                  "next one, and so on; 0: one with this very id");
+  app.add_option(
+    "--born", bornMs, "Start of this incarnation, Unix ms; now unless given");
   app.add_option("--cpu-millis", cpuMillis, "Capacity in thousandths of cores");
   app.add_option("--speed", speed, "Work done in a second, in seconds");
   CLI11_PARSE(app, aCount, aArguments);
@@ -241,6 +245,7 @@
     servers.push_back(
       std::make_unique<Server>(context,
                                count == 0 ? id : id + "-" + std::to_string(i),
+                               bornMs,
                                cpuMillis,
                                speed));
     listeners.push_back(std::make_unique<HttpListener>(
