--- a/tests/coordinator/RecoveryTest.cpp
+++ b/tests/coordinator/RecoveryTest.cpp
@@ -19,6 +19,8 @@
 //! More than a small daemon can lead, so that one that knows no other divides
 //! the list, and fewer than the largest one leads.
 constexpr std::size_t kEndpoints = 120;
+//! The largest daemons are heard this long after their start.
+constexpr Duration kSlowStart{ 300000 };
 
 Cluster::Options OptionsFor(std::size_t aDaemons, std::uint64_t aSeed)
 {
@@ -102,7 +104,6 @@
   constexpr Duration kTimeToLeader{ 1250000 };
   // A leader may begin another term for work of an earlier one.
   constexpr std::size_t kMaxTerms = 3;
-  constexpr Duration kSlowStart{ 300000 };
   for (const PowerLossRow& row : kPowerLossRows) {
     Cluster::Options options = OptionsFor(row.daemons, row.seed);
     if (row.isLargestLast) {
