--- a/src/scheduler/SchedulerTicks.cpp
+++ b/src/scheduler/SchedulerTicks.cpp
@@ -17,6 +17,9 @@
 //! Within this factor a drift changes the objective less than the error of a
 //! single prediction does.
 constexpr double kMaxSpeedDrift = 1.25;
+//! Share of the endpoints whose speed must be known. The first runs go to slow
+//! endpoints, whose mean says nothing of the others.
+constexpr double kMinNormalizedShare = 0.75;
 //! Half of a speed is learned after this many runs.
 constexpr std::uint64_t kMinSpeedSamples = 4;
 //! Completions of unknown work are kept this long, for entry VMs to resubmit
@@ -205,7 +208,9 @@
       ++count;
     }
   }
-  if (count == 0) {
+  const double minCount =
+    kMinNormalizedShare * static_cast<double>(endpoints_.size());
+  if (count == 0 || static_cast<double>(count) < minCount) {
     return;
   }
   const double mean = std::exp(sumOfLogs / static_cast<double>(count));
