--- a/tests/scheduler/NearWaitReplayTest.cpp
+++ b/tests/scheduler/NearWaitReplayTest.cpp
@@ -31,7 +31,7 @@
     0.85 },
   { "crowded rack of long work, x 1.5: waits that do not pay",
     { 1.5, 1.5, 8, 5, 1, 0.66 },
-    0.95 },
+    0.96 },
   { "crowded rack of long work, x 2: accepting work that becomes late",
     { 2, 2, 8, 5, 1, 0.66 },
     0.9 },
