--- a/tests/system/ConnectionMemoryTest.cpp
+++ b/tests/system/ConnectionMemoryTest.cpp
@@ -1,20 +1,10 @@
-#include "http/RawSocket.h"
 #include "system/HeavyClients.h"
-#include "system/Process.h"
+#include "system/LoneDaemon.h"
 #include "system/TestFleet.h"
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <memory>
-#include <sstream>
-#include <stdexcept>
 #include <string>
-#include <thread>
 #include <vector>
 
 // Last: CppUTest replaces the word new.
@@ -73,120 +63,6 @@
     { 20, Chunked(""), "1;extension=0123456789\r\nx\r\n", kMiB } }
 };
 
-std::string ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  return { std::istreambuf_iterator<char>(file), {} };
-}
-
-std::string LoopbackAddress(std::uint16_t aPort)
-{
-  return "127.0.0.1:" + std::to_string(aPort);
-}
-
-//! A daemon without a platform, started as a process.
-class LoneDaemon
-{
-public:
-  LoneDaemon(const char* aProgram,
-             std::uint16_t aCallers,
-             std::uint16_t aChecks,
-             const nlohmann::json& aSettings)
-    : callers(aCallers)
-    , checks(aChecks)
-  {
-    std::string pattern =
-      (std::filesystem::temp_directory_path() / "hemlockhaven-XXXXXX").string();
-    if (::mkdtemp(pattern.data()) == nullptr) {
-      throw std::runtime_error("cannot make a temporary folder");
-    }
-    folder_ = pattern;
-    const std::string path = folder_ + "/settings.json";
-    std::ofstream(path) << aSettings.dump();
-    const std::vector<std::string> arguments{ "--settings", path };
-    process_ =
-      std::make_unique<Process>(aProgram, arguments, folder_ + "/daemon.out");
-    CHECK(WaitUntil([this] { return Ask(checks, "GET", "/readyz") > 0; }));
-  }
-  ~LoneDaemon()
-  {
-    process_.reset();
-    std::error_code ignored;
-    std::filesystem::remove_all(folder_, ignored);
-  }
-  LoneDaemon(const LoneDaemon&) = delete;
-  LoneDaemon& operator=(const LoneDaemon&) = delete;
-
-  static int Ask(std::uint16_t aPort,
-                 std::string_view aMethod,
-                 std::string_view aTarget)
-  {
-    const RawSocket socket(aPort);
-    socket.Send(RequestText(aMethod, aTarget));
-    return StatusIn(socket.ReadReply());
-  }
-
-  bool IsAlive() { return !process_->GetExitCode().has_value(); }
-
-  //! Highest resident memory since the start, in KiB.
-  std::size_t PeakKiB() const
-  {
-    const std::string status = ReadFile(ProcPath() + "/status");
-    const std::string key = "VmHWM:";
-    const std::size_t at = status.find(key);
-    return at == std::string::npos ? 0
-                                   : std::stoul(status.substr(at + key.size()));
-  }
-
-  //! Waits until the process has used no processor time for a while, so that
-  //! it has handled what was sent to it.
-  void WaitUntilIdle() const
-  {
-    constexpr int kChecks = 200;
-    constexpr int kIdleChecks = 5;
-    int idle = 0;
-    std::string last;
-    for (int i = 0; i < kChecks && idle < kIdleChecks; ++i) {
-      const std::string used = ProcessorTime();
-      idle = used == last ? idle + 1 : 0;
-      last = used;
-      std::this_thread::sleep_for(std::chrono::milliseconds(100));
-    }
-  }
-
-  std::size_t Descriptors() const
-  {
-    return static_cast<std::size_t>(std::distance(
-      std::filesystem::directory_iterator(ProcPath() + "/fd"), {}));
-  }
-
-  const std::uint16_t callers;
-  const std::uint16_t checks; //!< Of the balancer or the operators.
-
-private:
-  std::string ProcPath() const
-  {
-    return "/proc/" + std::to_string(process_->Id());
-  }
-
-  //! The fields utime and stime.
-  std::string ProcessorTime() const
-  {
-    constexpr int kUserTimeField = 14;
-    std::istringstream fields(ReadFile(ProcPath() + "/stat"));
-    std::string user;
-    for (int i = 0; i < kUserTimeField; ++i) {
-      fields >> user;
-    }
-    std::string system;
-    fields >> system;
-    return user + " " + system;
-  }
-
-  std::string folder_;
-  std::unique_ptr<Process> process_;
-};
-
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const CrowdRow& aRow,
--- a/tests/system/HeavyClients.cpp
+++ b/tests/system/HeavyClients.cpp
@@ -46,7 +46,8 @@
       group.repeated += unit;
     }
     for (std::size_t i = 0; i < group.connections; ++i) {
-      clients_.push_back({ &group, Connect(aPort), 0 });
+      clients_.push_back(
+        { &group, Connect(group.port != 0 ? group.port : aPort), 0 });
     }
   }
 }
--- a/tests/system/HeavyClients.h
+++ b/tests/system/HeavyClients.h
@@ -14,9 +14,10 @@
 struct ClientGroup
 {
   std::size_t connections;
-  std::string head;     //!< Sent once, first.
-  std::string repeated; //!< Sent over and over after the head.
-  std::size_t bytes;    //!< Sent in all by each connection.
+  std::string head;       //!< Sent once, first.
+  std::string repeated;   //!< Sent over and over after the head.
+  std::size_t bytes;      //!< Sent in all by each connection.
+  std::uint16_t port = 0; //!< 0: that of the crowd.
 };
 
 //! Clients that send more than the limits allow and stay connected.
