Release the memory of connections that give way at once, and bound it

Seen: 1,000 connections that stop two bytes short of a chunk of 1 MiB took hemlockhaven-platform with 64 MB to 35 to 37 MiB, over the 33.6 MiB that are left beside the sockets' buffers. Cause: ConnectionMemory left out of the total what connections hold that were asked to give way. They did so when their posted handler ran, behind all reads that were queued before it, and nothing bounded what they held meanwhile. Change: the handler is dispatched, so that it runs at once on a thread of the listener, and it releases the request itself instead of the cancelled read. What still gives way, on threads of another listener, may exceed the budget by an eighth; beyond that a growing request is refused.

--- a/src/net/ConnectionMemory.cpp
+++ b/src/net/ConnectionMemory.cpp
@@ -11,6 +11,10 @@
 //! the slowest of them gives way and not the one that has just arrived.
 constexpr std::size_t kSmallBytes = 32768;
 
+//! Connections that give way may exceed the budget by this part of it. On other
+//! threads they release their memory a little later.
+constexpr std::size_t kOvershootDivisor = 8;
+
 //! A client has 3 s for its header. One that has not sent a byte for longer
 //! than this may give way to a new connection.
 constexpr Duration kMaxSilence{ 4000000 };
@@ -45,6 +49,11 @@
   return charged > yielding && charged - yielding > budget_;
 }
 
+bool ConnectionMemory::IsFarOverBudget() const
+{
+  return charged_ > budget_ + budget_ / kOvershootDivisor;
+}
+
 ConnectionMemory::ConnectionId ConnectionMemory::Open(ListenerId aListener,
                                                       TimePoint aNow,
                                                       GiveWayHook aHook)
@@ -82,6 +91,8 @@
                               TimePoint aNow)
 {
   const bool receives = aPhase == ConnectionPhase::Receiving;
+  bool yields = false;
+  bool grows = false;
   {
     Shard& shard = ShardOf(aId);
     const std::lock_guard<std::mutex> lock(shard.mutex);
@@ -90,21 +101,23 @@
       return false;
     }
     Connection& connection = found->second;
-    if (connection.yields && receives) {
+    yields = connection.yields && receives;
+    grows = aBytes > connection.bytes;
+    if (yields && grows) {
       return false;
     }
     yielding_ -= connection.yields ? connection.bytes : 0;
-    connection.yields = false;
+    yielding_ += yields ? aBytes : 0;
+    connection.yields = yields;
     charged_ += aBytes - connection.bytes; // May wrap around; the sum does not.
-    const bool grows = aBytes > connection.bytes;
     connection.bytes = aBytes;
     if (connection.phase != aPhase) {
       connection.phase = aPhase;
       connection.since = aNow;
     }
-    if (!grows) {
-      return true;
-    }
+  }
+  if (yields || !grows) {
+    return !yields;
   }
   while (IsOverBudget()) {
     const auto candidate = Choose(
@@ -124,7 +137,7 @@
     }
     Yield(*candidate, GiveWayCause::BudgetExhausted);
   }
-  return true;
+  return !receives || !IsFarOverBudget();
 }
 
 bool ConnectionMemory::MakeRoom(ListenerId aListener, TimePoint aNow)
--- a/src/net/ConnectionMemory.h
+++ b/src/net/ConnectionMemory.h
@@ -54,6 +54,7 @@
   //! Records what the connection holds. While the total exceeds the budget,
   //! unfinished requests give way, then replies that are not read. Returns
   //! false if this connection is to give way; only one that receives can be.
+  //! It also is if those that give way have not released enough memory yet.
   [[nodiscard]] bool Update(ConnectionId aId,
                             ConnectionPhase aPhase,
                             std::size_t aBytes,
@@ -98,7 +99,10 @@
   using RankHook = std::function<unsigned(ConnectionId, const Connection&)>;
 
   Shard& ShardOf(ConnectionId aId);
+  //! Without what connections hold that give way.
   bool IsOverBudget() const;
+  //! With what connections hold that give way.
+  bool IsFarOverBudget() const;
   std::optional<Candidate> Choose(const RankHook& aRank) const;
   void Yield(const Candidate& aCandidate, GiveWayCause aCause);
 
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -4,7 +4,6 @@
 #include "net/SocketOptions.h"
 
 #include <boost/asio/dispatch.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -126,8 +125,10 @@
         SteadyNow(),
         [weak = weak_from_this()](GiveWayCause aCause) {
           if (const auto self = weak.lock()) {
-            net::post(self->stream_.get_executor(),
-                      [self, aCause] { self->GiveWay(aCause); });
+            // At once if this is a thread of the listener: behind queued
+            // reads the memory would be released too late.
+            net::dispatch(self->stream_.get_executor(),
+                          [self, aCause] { self->GiveWay(aCause); });
           }
         });
     }
@@ -318,7 +319,9 @@
     switch (phase_) {
       case ConnectionPhase::Receiving:
         givesWay_ = aCause;
-        stream_.cancel();
+        stream_.cancel(); // From here on the read leaves the buffer alone.
+        ReleaseRequest();
+        static_cast<void>(Charge(ConnectionPhase::Receiving));
         break;
       case ConnectionPhase::Answering:
         if (!isRefused_) {
@@ -349,13 +352,18 @@
     }
   }
 
+  void ReleaseRequest()
+  {
+    parser_.reset();
+    buffer_ = beast::flat_buffer();
+  }
+
   //! Releases the request, replies and closes the connection.
   void ReplyWithError(RequestError aRequestError)
   {
     Reject(aRequestError);
     isRefused_ = true;
-    parser_.reset();
-    buffer_ = beast::flat_buffer();
+    ReleaseRequest();
     keepAlive_ = false;
     awaitsReply_ = true;
     Write(EncodeResponse(shared_->errorReply(aRequestError), false));
--- a/tests/net/ConnectionMemoryTest.cpp
+++ b/tests/net/ConnectionMemoryTest.cpp
@@ -238,6 +238,42 @@
   LONGS_EQUAL(190000, connections.memory.ChargedBytes());
 }
 
+// Guards against memory without a bound while connections that give way have
+// not released theirs.
+TEST(ConnectionMemory, BoundsWhatGivesWay)
+{
+  constexpr std::size_t kBytes = 100000;
+  Connections connections({});
+  for (int i = 0; i < 100; ++i) {
+    static_cast<void>(
+      connections.Add({ 'a', 'l', Phase::Receiving, kBytes, i }));
+  }
+  // A refused connection holds its bytes until it is closed.
+  CHECK(connections.memory.ChargedBytes() > kBudget);
+  std::size_t allowed = 0;
+  for (int i = 100; i < 110; ++i) {
+    allowed +=
+      connections.Add({ 'b', 'l', Phase::Receiving, kBytes, i }) ? 1 : 0;
+  }
+  LONGS_EQUAL(0, allowed);
+}
+
+// Guards against memory that counts as held although its connection has
+// released it to give way.
+TEST(ConnectionMemory, ReleasesWhatGivesWay)
+{
+  Connections connections({ { 'a', 'l', Phase::Receiving, 900000, 0 },
+                            { 'b', 'l', Phase::Receiving, 90000, 0 } });
+  CHECK(connections.Add({ 'c', 'l', Phase::Receiving, 50000, 1 }));
+  STRCMP_EQUAL("a", connections.giveWay.c_str());
+  CHECK_FALSE(connections.memory.Update(1, Phase::Receiving, 3000, At(2)));
+  LONGS_EQUAL(143000, connections.memory.ChargedBytes());
+  CHECK(connections.Add({ 'd', 'l', Phase::Receiving, 850000, 3 }));
+  STRCMP_EQUAL("a", connections.giveWay.c_str());
+  connections.memory.Close(1);
+  LONGS_EQUAL(990000, connections.memory.ChargedBytes());
+}
+
 TEST_GROUP(ConnectionPlan){};
 
 TEST(ConnectionPlan, LeavesMemoryAndDescriptorsToTheProcess)
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -55,6 +55,12 @@
          "Content-Length: " + std::to_string(aBytes) + "\r\n\r\n";
 }
 
+std::string Chunked(std::string_view aFirstLines, std::string_view aBody)
+{
+  return std::string(aFirstLines) + "Transfer-Encoding: chunked\r\n\r\n" +
+         std::string(aBody);
+}
+
 //! Headers of the most fields that the limit allows, then a part of a body.
 ClientGroup SmallFields(std::size_t aConnections,
                         std::string_view aFirstLines,
@@ -70,6 +76,15 @@
   return { aConnections, head, "x", head.size() + kSentBody, aPort };
 }
 
+//! Bodies that stop two bytes short of the end of a chunk of 1 MiB.
+ClientGroup UnfinishedChunks(std::size_t aConnections,
+                             std::string_view aFirstLines,
+                             std::uint16_t aPort)
+{
+  const std::string head = Chunked(aFirstLines, "100000\r\n");
+  return { aConnections, head, "x", head.size() + kMiB - 2, aPort };
+}
+
 const CrowdRow kFieldRows[] = {
   { "header fields that take many times their bytes in the header",
     [](const Target& aTarget) -> std::vector<ClientGroup> {
@@ -82,6 +97,13 @@
     } },
 };
 
+const CrowdRow kChunkRows[] = {
+  { "memory beyond the budget while connections give way",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { UnfinishedChunks(1000, aTarget.submission, aTarget.callers) };
+    } },
+};
+
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const Target& aTarget,
@@ -195,3 +217,15 @@
 {
   CheckDaemon(kFieldRows);
 }
+
+TEST_GROUP(ChunkCrowd){};
+
+TEST(ChunkCrowd, PlatformSurvives)
+{
+  CheckPlatform(kChunkRows);
+}
+
+TEST(ChunkCrowd, DaemonSurvives)
+{
+  CheckDaemon(kChunkRows);
+}
