Return the pages that large requests have freed

Seen: system.ChunkCrowd on hemlockhavend with 128 MB, whose connections may hold 32 MB, peaked at 51 to 64 MiB, and hemlockhaven-platform with 64 MB (16 MB for connections) at 30.5 to 31.9 MiB. Cause: unfinished bodies grow from small blocks of the heap into blocks that are mapped on their own. The small ones are freed, but pages between blocks in use stay with the process, so that the heap's high-water mark adds to the budget. Ruled out: a lower threshold of mapped blocks, which ends at the size of read buffers and maps ordinary blocks too. Change: ConnectionMemory calls a hook each time that connections have released an eighth of the budget in blocks of 32 KB or more, and the daemons let it return free pages (malloc_trim). Ordinary requests are smaller and never cause a call.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -110,7 +110,8 @@
   , plan_(PlanConnections(settings_.memoryMb,
                           DescriptorLimit(),
                           settings_.limits.connections))
-  , connectionMemory_(std::make_shared<ConnectionMemory>(plan_.budgetBytes))
+  , connectionMemory_(
+      std::make_shared<ConnectionMemory>(plan_.budgetBytes, ReturnFreedPages))
 {
   ReturnFreedBodies();
   node_ =
--- a/src/net/ConnectionMemory.cpp
+++ b/src/net/ConnectionMemory.cpp
@@ -15,6 +15,9 @@
 //! threads they release their memory a little later.
 constexpr std::size_t kOvershootDivisor = 8;
 
+//! Freed memory is returned to the system in parts of the budget.
+constexpr std::size_t kReturnDivisor = 8;
+
 //! A client has 3 s for its header. One that has not sent a byte for longer
 //! than this may give way to a new connection.
 constexpr Duration kMaxSilence{ 4000000 };
@@ -32,9 +35,23 @@
 
 }
 
-ConnectionMemory::ConnectionMemory(std::size_t aBudgetBytes)
+ConnectionMemory::ConnectionMemory(std::size_t aBudgetBytes,
+                                   ReturnFreedHook aReturnFreed)
   : budget_(aBudgetBytes)
+  , returnFreed_(std::move(aReturnFreed))
+{
+}
+
+void ConnectionMemory::CountReleased(std::size_t aBytes)
 {
+  // Ordinary requests are smaller. The allocator reuses what they free.
+  if (aBytes < kSmallBytes || !returnFreed_) {
+    return;
+  }
+  if (released_.fetch_add(aBytes) + aBytes >= budget_ / kReturnDivisor) {
+    released_ = 0;
+    returnFreed_();
+  }
 }
 
 ConnectionMemory::Shard& ConnectionMemory::ShardOf(ConnectionId aId)
@@ -91,6 +108,7 @@
                               TimePoint aNow)
 {
   const bool receives = aPhase == ConnectionPhase::Receiving;
+  std::size_t released = 0;
   bool yields = false;
   bool grows = false;
   {
@@ -106,6 +124,7 @@
     if (yields && grows) {
       return false;
     }
+    released = grows ? 0 : connection.bytes - aBytes;
     yielding_ -= connection.yields ? connection.bytes : 0;
     yielding_ += yields ? aBytes : 0;
     connection.yields = yields;
@@ -116,6 +135,7 @@
       connection.since = aNow;
     }
   }
+  CountReleased(released);
   if (yields || !grows) {
     return !yields;
   }
--- a/src/net/ConnectionMemory.h
+++ b/src/net/ConnectionMemory.h
@@ -45,8 +45,13 @@
   //! Asks a connection to release its memory. May be called by any thread,
   //! also after Close has begun.
   using GiveWayHook = std::function<void(GiveWayCause)>;
+  //! Returns freed memory to the system. May be called by any thread.
+  using ReturnFreedHook = std::function<void()>;
 
-  explicit ConnectionMemory(std::size_t aBudgetBytes);
+  //! The hook is called each time that connections have released an eighth of
+  //! the budget in large blocks.
+  explicit ConnectionMemory(std::size_t aBudgetBytes,
+                            ReturnFreedHook aReturnFreed = nullptr);
 
   ConnectionId Open(ListenerId aListener, TimePoint aNow, GiveWayHook aHook);
   void Close(ConnectionId aId);
@@ -105,10 +110,14 @@
   bool IsFarOverBudget() const;
   std::optional<Candidate> Choose(const RankHook& aRank) const;
   void Yield(const Candidate& aCandidate, GiveWayCause aCause);
+  //! To be called without a lock.
+  void CountReleased(std::size_t aBytes);
 
   const std::size_t budget_;
+  const ReturnFreedHook returnFreed_;
   std::atomic<std::size_t> charged_{ 0 };
   std::atomic<std::size_t> yielding_{ 0 }; //!< Part of charged_.
+  std::atomic<std::size_t> released_{ 0 }; //!< Since the last hook.
   std::atomic<ConnectionId> lastId_{ 0 };
   std::array<Shard, 8> shards_;
 };
--- a/src/net/ConnectionPlan.cpp
+++ b/src/net/ConnectionPlan.cpp
@@ -54,6 +54,11 @@
   ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
 }
 
+void ReturnFreedPages()
+{
+  ::malloc_trim(0);
+}
+
 std::size_t DescriptorLimit()
 {
   constexpr std::size_t kUsualLimit = 1024;
--- a/src/net/ConnectionPlan.h
+++ b/src/net/ConnectionPlan.h
@@ -28,6 +28,9 @@
 //! before the first connection.
 void ReturnFreedBodies();
 
+//! Returns the allocator's free pages to the system.
+void ReturnFreedPages();
+
 //! The process's limit of open descriptors.
 std::size_t DescriptorLimit();
 
--- a/tests/net/ConnectionMemoryTest.cpp
+++ b/tests/net/ConnectionMemoryTest.cpp
@@ -274,6 +274,36 @@
   LONGS_EQUAL(990000, connections.memory.ChargedBytes());
 }
 
+//! Connections that hold and then release bytes.
+struct ReturnRow
+{
+  const char* guardsAgainst;
+  std::size_t connections;
+  std::size_t bytes;
+  int returns; //!< Calls of the hook.
+};
+
+const ReturnRow kReturnRows[] = {
+  { "freed bodies that stay in the heap beside new ones", 4, 125000, 4 },
+  { "a call for each body", 4, 62500, 2 },
+  { "calls for ordinary requests", 100, 20000, 0 },
+};
+
+TEST(ConnectionMemory, ReturnsWhatLargeRequestsHaveFreed)
+{
+  for (const ReturnRow& row : kReturnRows) {
+    int returns = 0;
+    ConnectionMemory memory(kBudget, [&returns] { ++returns; });
+    for (std::size_t i = 0; i < row.connections; ++i) {
+      const auto id = memory.Open(nullptr, At(0), [](GiveWayCause) {});
+      CHECK(memory.Update(id, Phase::Receiving, row.bytes, At(0)));
+      CHECK(memory.Update(id, Phase::Answering, 0, At(1)));
+      memory.Close(id);
+    }
+    LONGS_EQUAL_TEXT(row.returns, returns, row.guardsAgainst);
+  }
+}
+
 TEST_GROUP(ConnectionPlan){};
 
 TEST(ConnectionPlan, LeavesMemoryAndDescriptorsToTheProcess)
