Reserve the memory of parsed bodies within the budget of the connections

Seen: 30 whole bodies of 1 MiB, with lists of empty objects, took hemlockhavend with 128 MB to 730 MiB, and lists in lists to 1,985 MiB; hemlockhaven-platform with 64 MB reached 56 and 95 MiB. hemlockhavend's listener for operators reached 1,370 MiB with 20 such bodies. Cause: json::parse builds the whole document, 16 to 100 times the size of the body, before anything of it is checked. Nothing was charged with it, and hemlockhavend parses as many bodies at a time as its pool has threads. Change: ParseJson builds a document from the parser's events and reserves its memory first. MemoryReservation adds it to the budget of the connections until the reply. Unfinished requests and unread replies give way to it if they hold as much. A document over five eighths of the budget is answered 413 at once; one that does not fit at present 429 or 503 with Retry-After. Neither has run. Bodies are now bounded by a quarter of the budget (16 MB with 256 MB, the default; 4 MB with the least memory that settings allow), so that each can be parsed in calm.

--- a/src/adapters/ConfigurationJson.cpp
+++ b/src/adapters/ConfigurationJson.cpp
@@ -1,5 +1,7 @@
 #include "adapters/ConfigurationJson.h"
 
+#include "net/JsonDocument.h"
+
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
@@ -187,16 +189,23 @@
   return parsed;
 }
 
-ParsedConfiguration ParseConfiguration(std::string_view aText)
+Result<ParsedConfiguration> ParseConfiguration(std::string_view aText,
+                                               const ReserveHook& aReserve)
 {
+  BOOST_OUTCOME_TRY(document, ParseJson(aText, aReserve));
+  if (!document.is_discarded()) {
+    return ParseConfiguration(document);
+  }
+  // Again, without building a document, for the place of the error.
+  ParsedConfiguration parsed;
   try {
-    return ParseConfiguration(json::parse(aText));
+    const auto skipAll = [](int, json::parse_event_t, json&) { return false; };
+    [[maybe_unused]] const json discarded = json::parse(aText, skipAll);
   } catch (const json::parse_error& error) {
-    ParsedConfiguration parsed;
     parsed.faults.push_back(
       { "byte " + std::to_string(error.byte), "JSON", error.what() });
-    return parsed;
   }
+  return parsed;
 }
 
 json ToJson(const Configuration& aDocument)
--- a/src/adapters/ConfigurationJson.h
+++ b/src/adapters/ConfigurationJson.h
@@ -2,6 +2,8 @@
 #define HEMLOCKHAVEN_SRC_ADAPTERS_CONFIGURATIONJSON_H
 
 #include "hemlockhaven/configuration/Configuration.h"
+#include "hemlockhaven/core/Result.h"
+#include "net/MemoryReservation.h"
 
 #include <nlohmann/json.hpp>
 
@@ -22,7 +24,11 @@
 //!  "steering": [{"submissions": selector, "endpoints": selector}],
 //!  "drained": [selector]}
 ParsedConfiguration ParseConfiguration(const nlohmann::json& aJson);
-ParsedConfiguration ParseConfiguration(std::string_view aText);
+//! The same for the text of a client. The error says that it has too many
+//! levels or that its memory was not reserved.
+Result<ParsedConfiguration> ParseConfiguration(
+  std::string_view aText,
+  const ReserveHook& aReserve = nullptr);
 
 nlohmann::json ToJson(const Configuration& aDocument);
 
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -69,9 +69,11 @@
   return text;
 }
 
-Result<Configuration> CheckedConfiguration(std::string_view aText)
+Result<Configuration> CheckedConfiguration(
+  std::string_view aText,
+  const ReserveHook& aReserve = nullptr)
 {
-  ParsedConfiguration parsed = ParseConfiguration(aText);
+  BOOST_OUTCOME_TRY(parsed, ParseConfiguration(aText, aReserve));
   if (!parsed.faults.empty()) {
     return Error::NotRun("check configuration",
                          Reason::ConfigurationInvalid,
@@ -188,7 +190,7 @@
   options.port = aAddress.port;
   // One body must not take the whole budget.
   options.bodyBytes =
-    std::min(settings_.limits.bodyBytes, plan_.budgetBytes / 2);
+    std::min(settings_.limits.bodyBytes, plan_.maxBodyBytes);
   options.readTimeout = settings_.limits.readTimeout;
   options.receiveBufferBytes = plan_.receiveBufferBytes;
   options.sendBufferBytes = plan_.sendBufferBytes;
@@ -324,14 +326,18 @@
     return ParseSince(aText, WallNowMs());
   };
   hooks.configuration = [this] { return ViewConfiguration(); };
-  hooks.checkConfiguration = [](std::string_view aDocument) -> Result<void> {
-    BOOST_OUTCOME_TRY(document, CheckedConfiguration(aDocument));
+  hooks.checkConfiguration = [](std::string_view aDocument,
+                                const ReserveHook& aReserve) -> Result<void> {
+    BOOST_OUTCOME_TRY(document, CheckedConfiguration(aDocument, aReserve));
     static_cast<void>(document);
     return outcome::success();
   };
-  hooks.publishConfiguration = [this](std::uint64_t aBase,
-                                      std::string_view aDocument) {
-    return Publish(aBase, aDocument);
+  hooks.publishConfiguration =
+    [this](std::uint64_t aBase,
+           std::string_view aDocument,
+           const ReserveHook& aReserve) -> Result<std::uint64_t> {
+    BOOST_OUTCOME_TRY(document, CheckedConfiguration(aDocument, aReserve));
+    return Publish(aBase, document);
   };
   hooks.drain = [this](const DrainOrder& aOrder) { return Drain(aOrder); };
   hooks.metrics = [this] {
@@ -416,13 +422,6 @@
   };
 }
 
-Result<std::uint64_t> Daemon::Publish(std::uint64_t aBase,
-                                      std::string_view aDocument)
-{
-  BOOST_OUTCOME_TRY(document, CheckedConfiguration(aDocument));
-  return Publish(aBase, document);
-}
-
 Result<std::uint64_t> Daemon::Publish(std::uint64_t aBase,
                                       const Configuration& aDocument)
 {
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -53,8 +53,6 @@
   // Operators' hooks.
   Result<WhereAnswer> Where(const WhereQuery& aQuery);
   Result<ConfigurationView> ViewConfiguration() const;
-  Result<std::uint64_t> Publish(std::uint64_t aBase,
-                                std::string_view aDocument);
   Result<std::uint64_t> Publish(std::uint64_t aBase,
                                 const Configuration& aDocument);
   Result<std::size_t> Drain(const DrainOrder& aOrder);
--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -132,7 +132,7 @@
                                 "expected key=TEXT and epoch=NUMBER, where "
                                 "the epoch is from GET /v1/epoch"));
   }
-  auto spec = ParseSubmission(aRequest.body, aKind);
+  auto spec = ParseSubmission(aRequest.body, aKind, aRequest.reserve);
   if (spec.has_error()) {
     return Refuse(spec.error());
   }
@@ -164,7 +164,8 @@
 
 HttpReply CallerApi::SubmitUnidentified(const HttpRequestView& aRequest)
 {
-  auto spec = ParseSubmission(aRequest.body, SubmissionKind::Request);
+  auto spec =
+    ParseSubmission(aRequest.body, SubmissionKind::Request, aRequest.reserve);
   if (spec.has_error()) {
     return Refuse(spec.error());
   }
@@ -207,7 +208,7 @@
   if (aRequest.method != "PUT") {
     return NoRoute(aRequest);
   }
-  auto spec = ParseSubmission(aRequest.body, aKind);
+  auto spec = ParseSubmission(aRequest.body, aKind, aRequest.reserve);
   if (spec.has_error()) {
     return Refuse(spec.error());
   }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <exception>
+#include <memory>
 #include <string_view>
 #include <utility>
 
@@ -91,7 +92,8 @@
     return { method,
              all.substr(0, mark),
              mark == std::string_view::npos ? "" : all.substr(mark + 1),
-             body };
+             body,
+             nullptr };
   }
 };
 
@@ -99,6 +101,7 @@
 
 HttpServer::HttpServer(const Options& aOptions, Handler aHandler)
   : handler_(std::move(aHandler))
+  , memory_(aOptions.common.memory)
   , pool_(aOptions.maxThreads)
   , listener_(
       context_,
@@ -137,8 +140,17 @@
                                       std::string(aRequest.target),
                                       std::string(aRequest.body) },
                reply = aReply] {
+      const auto reservation = std::make_shared<MemoryReservation>(memory_);
+      HttpRequestView view = request.View();
+      view.reserve = [&reservation](std::size_t aBytes) {
+        return reservation->Add(aBytes);
+      };
       try {
-        reply(Encode(handler_(request.View())));
+        OutgoingReply outgoing = Encode(handler_(view));
+        // The request has been handled, so that it is answered in any case.
+        static_cast<void>(reservation->Add(outgoing.body.size()));
+        outgoing.reservation = reservation;
+        reply(std::move(outgoing));
       } catch (const std::exception& problem) {
         reply(Encode(ReplyOf(
           Error::Unknown("answer", "", Reason::Internal, problem.what()))));
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -51,6 +52,7 @@
   void Answer(const IncomingRequest& aRequest, const ReplyHook& aReply);
 
   Handler handler_;
+  const std::shared_ptr<ConnectionMemory> memory_;
   boost::asio::io_context context_{ 1 };
   HandlerPool pool_;
   HttpListener listener_;
--- a/src/http/JsonCodec.cpp
+++ b/src/http/JsonCodec.cpp
@@ -1,5 +1,7 @@
 #include "http/JsonCodec.h"
 
+#include "net/JsonDocument.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -178,9 +180,11 @@
 
 }
 
-Result<JobSpec> ParseSubmission(std::string_view aBody, SubmissionKind aKind)
+Result<JobSpec> ParseSubmission(std::string_view aBody,
+                                SubmissionKind aKind,
+                                const ReserveHook& aReserve)
 {
-  const json body = json::parse(aBody, nullptr, false);
+  BOOST_OUTCOME_TRY(body, ParseJson(aBody, aReserve));
   if (!body.is_object()) {
     return Malformed("body", "expected a JSON object");
   }
--- a/src/http/JsonCodec.h
+++ b/src/http/JsonCodec.h
@@ -5,6 +5,7 @@
 #include "hemlockhaven/core/Result.h"
 #include "hemlockhaven/job/JobBook.h"
 #include "hemlockhaven/job/JobSpec.h"
+#include "net/MemoryReservation.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -20,8 +21,11 @@
   Job,     //!< Many tasks: `tasks`.
 };
 
-//! Reads a submission. The error says which member is wrong and why.
-Result<JobSpec> ParseSubmission(std::string_view aBody, SubmissionKind aKind);
+//! Reads a submission. The error says which member is wrong and why, or that
+//! its memory was not reserved.
+Result<JobSpec> ParseSubmission(std::string_view aBody,
+                                SubmissionKind aKind,
+                                const ReserveHook& aReserve = nullptr);
 
 //! A refusal or failure: reason, ran, retryAfterMs, step, peer, detail.
 nlohmann::json ToJson(const Error& aError);
--- a/src/http/OperatorApi.cpp
+++ b/src/http/OperatorApi.cpp
@@ -1,6 +1,7 @@
 #include "http/OperatorApi.h"
 
 #include "http/StatusJson.h"
+#include "net/JsonDocument.h"
 
 #include <algorithm>
 #include <array>
@@ -171,7 +172,8 @@
   if (!hooks_.checkConfiguration) {
     return NotWired("check configuration");
   }
-  const Result<void> checked = hooks_.checkConfiguration(aRequest.body);
+  const Result<void> checked =
+    hooks_.checkConfiguration(aRequest.body, aRequest.reserve);
   return checked.has_error() ? ReplyOf(checked.error())
                              : Ok({ { "status", "valid" } });
 }
@@ -188,7 +190,8 @@
                      "base: expected the version that the document was made "
                      "from");
   }
-  const auto version = hooks_.publishConfiguration(*base, aRequest.body);
+  const auto version =
+    hooks_.publishConfiguration(*base, aRequest.body, aRequest.reserve);
   return version.has_error() ? ReplyOf(version.error())
                              : Ok({ { "version", version.value() } });
 }
@@ -198,7 +201,11 @@
   if (!hooks_.drain) {
     return NotWired("drain");
   }
-  const json body = json::parse(aRequest.body, nullptr, false);
+  const Result<json> parsed = ParseJson(aRequest.body, aRequest.reserve);
+  if (parsed.has_error()) {
+    return ReplyOf(parsed.error());
+  }
+  const json& body = parsed.value();
   if (!body.is_object() || !body.contains("selector") ||
       !body["selector"].is_string()) {
     return Malformed("drain", "selector: expected a text");
--- a/src/http/OperatorHooks.h
+++ b/src/http/OperatorHooks.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Result.h"
 #include "hemlockhaven/dispatch/Dispatcher.h"
 #include "hemlockhaven/history/RequestRecord.h"
+#include "net/MemoryReservation.h"
 
 #include <cstdint>
 #include <functional>
@@ -74,12 +75,15 @@
   //! Milliseconds since the Unix epoch of a text such as "10 min ago".
   std::function<Result<std::int64_t>(std::string_view)> parseSince;
   std::function<Result<ConfigurationView>()> configuration;
-  //! Checks a document without publishing it.
-  std::function<Result<void>(std::string_view aDocument)> checkConfiguration;
+  //! Checks a document without publishing it. Its memory is reserved.
+  std::function<Result<void>(std::string_view aDocument,
+                             const ReserveHook& aReserve)>
+    checkConfiguration;
   //! Publishes a document on the version that it was made from; the new
-  //! version.
+  //! version. Its memory is reserved.
   std::function<Result<std::uint64_t>(std::uint64_t aBase,
-                                      std::string_view aDocument)>
+                                      std::string_view aDocument,
+                                      const ReserveHook& aReserve)>
     publishConfiguration;
   //! The number of endpoints that the order is about.
   std::function<Result<std::size_t>(const DrainOrder&)> drain;
--- a/src/net/ConnectionMemory.cpp
+++ b/src/net/ConnectionMemory.cpp
@@ -139,25 +139,56 @@
   if (yields || !grows) {
     return !yields;
   }
+  const bool isWithin = FreeBudget(
+    [aId, receives](ConnectionId aOther, const Connection& aConnection) {
+      if (aConnection.phase == ConnectionPhase::Receiving) {
+        return 2U;
+      }
+      const bool isUnread = aConnection.phase == ConnectionPhase::Answering;
+      // A request that is not complete gives way before any reply does.
+      return isUnread && aOther != aId && !receives ? 1U : 0U;
+    },
+    aId);
+  return !receives || (isWithin && !IsFarOverBudget());
+}
+
+bool ConnectionMemory::FreeBudget(const RankHook& aRank, ConnectionId aId)
+{
   while (IsOverBudget()) {
-    const auto candidate = Choose(
-      [aId, receives](ConnectionId aOther, const Connection& aConnection) {
-        if (aConnection.phase == ConnectionPhase::Receiving) {
-          return 2U;
-        }
-        const bool isUnread = aConnection.phase == ConnectionPhase::Answering;
-        // A request that is not complete gives way before any reply does.
-        return isUnread && aOther != aId && !receives ? 1U : 0U;
-      });
-    if (!candidate) {
-      return !receives;
-    }
-    if (candidate->id == aId) {
+    const auto candidate = Choose(aRank);
+    if (!candidate || candidate->id == aId) {
       return false;
     }
     Yield(*candidate, GiveWayCause::BudgetExhausted);
   }
-  return !receives || !IsFarOverBudget();
+  return true;
+}
+
+bool ConnectionMemory::Reserve(std::size_t aBytes, std::size_t aTotalBytes)
+{
+  charged_ += aBytes;
+  const bool isWithin = FreeBudget(
+    [aTotalBytes](ConnectionId /*aOther*/, const Connection& aConnection) {
+      if (aConnection.bytes < aTotalBytes) {
+        return 0U; // Small requests do not give way to a large document.
+      }
+      if (aConnection.phase == ConnectionPhase::Receiving) {
+        return 2U;
+      }
+      return aConnection.phase == ConnectionPhase::Answering ? 1U : 0U;
+    },
+    0);
+  if (isWithin && !IsFarOverBudget()) {
+    return true;
+  }
+  charged_ -= aBytes;
+  return false;
+}
+
+void ConnectionMemory::Unreserve(std::size_t aBytes)
+{
+  charged_ -= aBytes;
+  CountReleased(aBytes);
 }
 
 bool ConnectionMemory::MakeRoom(ListenerId aListener, TimePoint aNow)
--- a/src/net/ConnectionMemory.h
+++ b/src/net/ConnectionMemory.h
@@ -69,6 +69,16 @@
   //! whether there was one that may.
   bool MakeRoom(ListenerId aListener, TimePoint aNow);
 
+  //! Adds memory beside what connections hold, for a request that has reserved
+  //! aTotalBytes with it. Unfinished requests and replies that are not read
+  //! give way if they hold as much. Returns false, and adds nothing, if that
+  //! does not suffice.
+  [[nodiscard]] bool Reserve(std::size_t aBytes, std::size_t aTotalBytes);
+  void Unreserve(std::size_t aBytes);
+  //! The most that one request may reserve. With the largest body it fits into
+  //! the budget.
+  std::size_t MaxReservationBytes() const { return budget_ / 8 * 5; }
+
   //! Includes what connections hold that have been asked to give way.
   std::size_t ChargedBytes() const { return charged_; }
   std::size_t BudgetBytes() const { return budget_; }
@@ -108,6 +118,9 @@
   bool IsOverBudget() const;
   //! With what connections hold that give way.
   bool IsFarOverBudget() const;
+  //! Lets connections give way until the total is within the budget. Returns
+  //! false if aId is the next to give way, or no connection is left.
+  bool FreeBudget(const RankHook& aRank, ConnectionId aId);
   std::optional<Candidate> Choose(const RankHook& aRank) const;
   void Yield(const Candidate& aCandidate, GiveWayCause aCause);
   //! To be called without a lock.
--- a/src/net/ConnectionPlan.cpp
+++ b/src/net/ConnectionPlan.cpp
@@ -34,6 +34,7 @@
   const std::size_t onePercent = aMemoryMb * kBytesPerMb / 100;
   ConnectionPlan plan;
   plan.budgetBytes = kBudgetPercent * onePercent;
+  plan.maxBodyBytes = plan.budgetBytes / 4;
   // The other half is for endpoints, other daemons and the store.
   plan.connections = std::clamp<std::size_t>(
     aWantedConnections, 1, std::max<std::size_t>(aDescriptors / 2, 1));
--- a/src/net/ConnectionPlan.h
+++ b/src/net/ConnectionPlan.h
@@ -8,8 +8,9 @@
 //! How a process shares its machine's memory and descriptors among connections.
 struct ConnectionPlan
 {
-  std::size_t budgetBytes = 0; //!< For ConnectionMemory.
-  std::size_t connections = 0; //!< Of the listener for callers.
+  std::size_t budgetBytes = 0;  //!< For ConnectionMemory.
+  std::size_t maxBodyBytes = 0; //!< Leaves the rest to parse one body.
+  std::size_t connections = 0;  //!< Of the listener for callers.
   //! Sizes of a socket's buffers in the kernel, for each connection.
   std::size_t receiveBufferBytes = 0;
   std::size_t sendBufferBytes = 0;
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -373,8 +373,7 @@
   {
     keepAlive_ = parser_->keep_alive();
     awaitsReply_ = true;
-    // What the handler keeps of the request while it is handled.
-    handledBytes_ = parser_->Target().size() + parser_->Body().size();
+    reservation_.emplace(shared_->common.memory);
     // The handler decides how long the caller waits.
     stream_.expires_never();
     static_cast<void>(Charge(ConnectionPhase::Waiting));
@@ -386,16 +385,23 @@
       return parser_->Field(aName);
     };
     request.hasCallerLeft = [this] { return Peek() == CallerState::Left; };
+    request.reserve = [this](std::size_t aBytes) {
+      return reservation_ ? reservation_->Add(aBytes)
+                          : ReserveOutcome::Exhausted;
+    };
     auto onDisconnect = shared_->handler(
       request, [self = shared_from_this()](OutgoingReply aReply) {
         net::dispatch(
           self->stream_.get_executor(),
           [self, reply = std::move(aReply)] { self->Reply(reply); });
       });
+    // What the handler keeps of the request while it is handled.
+    const std::size_t kept = parser_->Target().size() + parser_->Body().size();
     parser_.reset();
     if (!awaitsReply_) {
       return;
     }
+    handledBytes_ = kept;
     if (buffer_.size() == 0) {
       buffer_ = beast::flat_buffer();
     }
@@ -466,6 +472,7 @@
     awaitsReply_ = false;
     onDisconnect_ = nullptr;
     handledBytes_ = 0;
+    reservation_.reset();
     responseBytes_ = std::move(aBytes);
     static_cast<void>(Charge(ConnectionPhase::Answering));
     beast::error_code ignored; // Only stops WatchDisconnect, if it is pending.
@@ -527,6 +534,7 @@
   std::size_t wireBytes_ = 0; //!< Of the present request.
   std::size_t readBytes_ = kMinReadBytes;
   std::size_t handledBytes_ = 0;
+  std::optional<MemoryReservation> reservation_; //!< While it is handled.
   std::string responseBytes_;
   DisconnectHook onDisconnect_;
   bool isNew_ = true;
--- a/src/net/HttpListener.h
+++ b/src/net/HttpListener.h
@@ -3,6 +3,7 @@
 
 #include "hemlockhaven/core/Time.h"
 #include "net/ConnectionMemory.h"
+#include "net/MemoryReservation.h"
 #include "net/RequestError.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,8 @@
   //! Whether the caller has closed the connection since it sent the request,
   //! which may have waited in the socket while this process was paused.
   std::function<bool()> hasCallerLeft;
+  //! Reserves memory until the reply. To be called during the handler.
+  ReserveHook reserve;
 };
 
 //! The reply to a request.
@@ -39,6 +42,8 @@
   std::string body;
   std::string contentType = "application/json";
   std::uint32_t retryAfterSeconds = 0; //!< 0: no Retry-After header.
+  //! Kept until the connection is charged with the reply; may be null.
+  std::shared_ptr<MemoryReservation> reservation{};
 };
 
 //! Sends the reply. To be called once, from any thread, during the handler or
--- a/src/net/HttpRequestView.h
+++ b/src/net/HttpRequestView.h
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKHAVEN_SRC_NET_HTTPREQUESTVIEW_H
 #define HEMLOCKHAVEN_SRC_NET_HTTPREQUESTVIEW_H
 
+#include "net/MemoryReservation.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,6 +17,8 @@
   std::string_view path;  //!< Without the query.
   std::string_view query; //!< Without '?'.
   std::string_view body;
+  //! Reserves memory until the reply; empty: without a bound.
+  ReserveHook reserve{};
 };
 
 //! Removes a prefix; false if the text does not start with it.
--- a/tests/adapter/ConnectionLimitsTest.cpp
+++ b/tests/adapter/ConnectionLimitsTest.cpp
@@ -1,7 +1,11 @@
+#include "net/ConnectionMemory.h"
+#include "net/ConnectionPlan.h"
+#include "net/MemoryReservation.h"
 #include "platform/EntryApi.h"
 #include "platform/PlatformSettings.h"
 #include "platform/Records.h"
 
+#include <memory>
 #include <string>
 
 // Last, because its macros replace operator new.
@@ -140,6 +144,52 @@
   }
 }
 
+//! A job that the documentation allows.
+struct LargeJobRow
+{
+  const char* guardsAgainst;
+  std::size_t steps;
+  const char* step;
+};
+
+const LargeJobRow kLargeJobRows[] = {
+  { "the most tasks refused", 4096, R"({"count":1})" },
+  { "the most tasks with usual fields refused",
+    4096,
+    R"({"count":1,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
+    R"("affinity":"rack-with-a-long-name-1"})" },
+  { "a large job with all fields refused",
+    780,
+    R"({"count":1,"cpu":500,"mem_mb":256,"gpus":1,"estimate_ms":900,)"
+    R"("requirements":"kind-with-a-long-name","affinity":"rack-1",)"
+    R"("same_rack":true,"anti_affinity":2,"depends_on":[0]})" },
+};
+
+// The least memory that the settings allow has to suffice for a single job.
+TEST(ConnectionLimits, AcceptsLargeJobsOnTheSmallestVm)
+{
+  constexpr std::size_t kLeastMemoryMb = 64;
+  constexpr std::size_t kDescriptors = 3075;
+  for (const LargeJobRow& row : kLargeJobRows) {
+    std::string steps = R"({"count":1})";
+    for (std::size_t i = 1; i < row.steps; ++i) {
+      steps.append(",").append(row.step);
+    }
+    const std::string job = Job("x", steps);
+    const auto memory = std::make_shared<ConnectionMemory>(
+      PlanConnections(kLeastMemoryMb, kDescriptors, 1).budgetBytes);
+    MemoryReservation body(memory);
+    CHECK(body.Add(job.size()) == ReserveOutcome::Reserved);
+    MemoryReservation reservation(memory);
+    const auto work = Platform::Detail::DecodeWork(
+      job, kDefaultMaxPayloadBytes, [&reservation](std::size_t aBytes) {
+        return reservation.Add(aBytes);
+      });
+    CHECK_TEXT(work.has_value(), row.guardsAgainst);
+    LONGS_EQUAL_TEXT(row.steps, work.value().steps.size(), row.guardsAgainst);
+  }
+}
+
 TEST(ConnectionLimits, ValidatesTheSettings)
 {
   for (const SettingsRow& row : kSettingsRows) {
--- a/tests/adapters/AdaptersTest.cpp
+++ b/tests/adapters/AdaptersTest.cpp
@@ -121,7 +121,9 @@
 {
   for (const FaultRow& row : kFaultRows) {
     std::string faultPaths;
-    for (const auto& fault : ParseConfiguration(row.text).faults) {
+    const auto parsed = ParseConfiguration(row.text);
+    CHECK_TEXT(parsed.has_value(), row.guardsAgainst);
+    for (const auto& fault : parsed.value().faults) {
       faultPaths += fault.path + " ";
       CHECK_TEXT(!fault.expected.empty() && !fault.found.empty(),
                  row.guardsAgainst);
@@ -146,8 +148,10 @@
   request.labels.Set("trade", "canopy");
   request.reason = Reason::QueueFull;
   request.state = JobState::Failed;
-  const auto document = std::make_shared<const Configuration>(
-    ParseConfiguration(kFaultRows[0].text).document);
+  const auto parsed = ParseConfiguration(kFaultRows[0].text);
+  CHECK(parsed.has_value());
+  const auto document =
+    std::make_shared<const Configuration>(parsed.value().document);
   const PlatformRecord records[] = {
     ClaimBatch{ { "vm-1", ~0ULL }, 3, { { ~0ULL, 1 }, { 2, 3 } } },
     ConfigurationChange{ 4, 5, document },
--- a/tests/http/ApiExamplesTest.cpp
+++ b/tests/http/ApiExamplesTest.cpp
@@ -127,15 +127,16 @@
   hooks.configuration = [] {
     return Result<ConfigurationView>(ConfigurationView{ 3, "{}" });
   };
-  hooks.checkConfiguration = [](std::string_view) {
+  hooks.checkConfiguration = [](std::string_view, const ReserveHook&) {
     return Result<void>(outcome::success());
   };
-  hooks.publishConfiguration = [](std::uint64_t aBase, std::string_view) {
-    return aBase == 3
-             ? Result<std::uint64_t>(4)
-             : Result<std::uint64_t>(Error::NotRun(
-                 "publish", Reason::ConfigurationConflict, "version 3"));
-  };
+  hooks.publishConfiguration =
+    [](std::uint64_t aBase, std::string_view, const ReserveHook&) {
+      return aBase == 3
+               ? Result<std::uint64_t>(4)
+               : Result<std::uint64_t>(Error::NotRun(
+                   "publish", Reason::ConfigurationConflict, "version 3"));
+    };
   hooks.drain = [](const DrainOrder&) { return Result<std::size_t>(8); };
   return hooks;
 }
--- a/tests/http/OperatorApiTest.cpp
+++ b/tests/http/OperatorApiTest.cpp
@@ -18,7 +18,7 @@
   unsigned status;
 };
 
-constexpr RouteRow kRouteRows[] = {
+const RouteRow kRouteRows[] = {
   { "an empty hook that ends the process",
     { "GET", "/v1/status", "", "" },
     503 },
@@ -62,9 +62,10 @@
     return Result<WhereAnswer>(WhereAnswer{});
   };
   hooks.drain = [](const DrainOrder&) { return Result<std::size_t>(1); };
-  hooks.publishConfiguration = [](std::uint64_t, std::string_view) {
-    return Result<std::uint64_t>(1);
-  };
+  hooks.publishConfiguration =
+    [](std::uint64_t, std::string_view, const ReserveHook&) {
+      return Result<std::uint64_t>(1);
+    };
   const OperatorApi api(hooks);
   for (const RouteRow& row : kRouteRows) {
     LONGS_EQUAL_TEXT(
--- a/tests/net/ConnectionMemoryTest.cpp
+++ b/tests/net/ConnectionMemoryTest.cpp
@@ -1,6 +1,8 @@
 #include "net/ConnectionMemory.h"
 #include "net/ConnectionPlan.h"
+#include "net/MemoryReservation.h"
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -274,6 +276,81 @@
   LONGS_EQUAL(990000, connections.memory.ChargedBytes());
 }
 
+//! A request that reserves memory beside the connections.
+struct ReserveRow
+{
+  const char* guardsAgainst;
+  std::vector<Held> held;
+  std::size_t bytes;
+  const char* giveWay; //!< In this order.
+  ReserveOutcome outcome;
+};
+
+const ReserveRow kReserveRows[] = {
+  { "memory refused although the budget suffices",
+    { { 'a', 'l', Phase::Receiving, 500000, 0 } },
+    500000,
+    "",
+    ReserveOutcome::Reserved },
+  { "a request refused for bodies that may never be complete",
+    { { 'a', 'l', Phase::Receiving, 500000, 0 },
+      { 'b', 'l', Phase::Receiving, 480000, 1 } },
+    30000,
+    "a",
+    ReserveOutcome::Reserved },
+  { "a request refused for a reply that is never read",
+    { { 'a', 'l', Phase::Answering, 990000, 0 } },
+    30000,
+    "a",
+    ReserveOutcome::Reserved },
+  { "requests dropped for one that needs more than they hold",
+    { { 'a', 'l', Phase::Receiving, 300000, 0 },
+      { 'b', 'l', Phase::Receiving, 300000, 1 } },
+    500000,
+    "",
+    ReserveOutcome::Exhausted },
+  { "accepted work dropped for later work",
+    { { 'a', 'l', Phase::Waiting, 990000, 0 } },
+    20000,
+    "",
+    ReserveOutcome::Exhausted },
+  { "a wait for memory that no request gets",
+    {},
+    700000,
+    "",
+    ReserveOutcome::TooLarge },
+};
+
+TEST(ConnectionMemory, ReservesForRequests)
+{
+  for (const ReserveRow& row : kReserveRows) {
+    // The connections release their memory later, as on another thread.
+    const auto memory = std::make_shared<ConnectionMemory>(kBudget);
+    std::string giveWay;
+    std::size_t held = 0;
+    for (const Held& connection : row.held) {
+      const auto id = memory->Open(
+        nullptr,
+        At(connection.startMs),
+        [&giveWay, name = connection.name](GiveWayCause) { giveWay += name; });
+      CHECK(memory->Update(
+        id, connection.phase, connection.bytes, At(connection.startMs)));
+      held += connection.bytes;
+    }
+    {
+      MemoryReservation reservation(memory);
+      CHECK_TEXT(reservation.Add(row.bytes) == row.outcome, row.guardsAgainst);
+      const bool isReserved = row.outcome == ReserveOutcome::Reserved;
+      LONGS_EQUAL_TEXT(
+        isReserved ? row.bytes : 0, reservation.Bytes(), row.guardsAgainst);
+      LONGS_EQUAL_TEXT(
+        held + reservation.Bytes(), memory->ChargedBytes(), row.guardsAgainst);
+    }
+    STRCMP_EQUAL_TEXT(row.giveWay, giveWay.c_str(), row.guardsAgainst);
+    LONGS_EQUAL_TEXT(held, memory->ChargedBytes(), row.guardsAgainst);
+  }
+}
+
 //! Connections that hold and then release bytes.
 struct ReturnRow
 {
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -61,6 +61,21 @@
          std::string(aBody);
 }
 
+//! Bodies of 1 MiB that are received whole.
+ClientGroup WholeBodies(std::size_t aConnections,
+                        std::string_view aFirstLines,
+                        std::string_view aBegin,
+                        std::string_view aRepeated,
+                        std::uint16_t aPort)
+{
+  const std::string head = Announced(aFirstLines, kMiB);
+  return { aConnections,
+           head + std::string(aBegin),
+           std::string(aRepeated),
+           head.size() + kMiB,
+           aPort };
+}
+
 //! Headers of the most fields that the limit allows, then a part of a body.
 ClientGroup SmallFields(std::size_t aConnections,
                         std::string_view aFirstLines,
@@ -104,6 +119,33 @@
     } },
 };
 
+const CrowdRow kParsedRows[] = {
+  { "lists of empty objects",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { WholeBodies(
+        30, aTarget.submission, "{\"x\":[", "{},", aTarget.callers) };
+    } },
+  { "lists in lists",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { WholeBodies(
+        30, aTarget.submission, "{\"x\":", "[", aTarget.callers) };
+    } },
+  { "objects in objects",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { WholeBodies(
+        30, aTarget.submission, "", "{\"a\":", aTarget.callers) };
+    } },
+  { "lists of numbers",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { WholeBodies(
+        30, aTarget.submission, "{\"x\":[", "0,", aTarget.callers) };
+    } },
+  { "lists in lists at the listener for checks",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { WholeBodies(20, aTarget.check, "{\"x\":", "[", aTarget.checks) };
+    } },
+};
+
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const Target& aTarget,
@@ -229,3 +271,15 @@
 {
   CheckDaemon(kChunkRows);
 }
+
+TEST_GROUP(ParsedBodyCrowd){};
+
+TEST(ParsedBodyCrowd, PlatformSurvives)
+{
+  CheckPlatform(kParsedRows);
+}
+
+TEST(ParsedBodyCrowd, DaemonSurvives)
+{
+  CheckDaemon(kParsedRows);
+}
