Refuse JSON documents of more than 64 levels

Seen: a single request of 1 MB to /v1/configuration/check, with 500,000 lists in one another, ended hemlockhavend with a segmentation fault. Cause: a fault quotes the value that was found, and json::dump uses a stack frame for each level. Parsing and destroying such a value does not. Change: ParseJson refuses a document over 64 levels. Those of the interfaces have up to four; a client within the documented formats does not meet the bound.

--- a/src/net/JsonDocument.cpp
+++ b/src/net/JsonDocument.cpp
@@ -39,6 +39,7 @@
 
   json Document() { return std::move(document_); }
   ReserveOutcome Outcome() const { return outcome_; }
+  bool IsTooDeep() const { return isTooDeep_; }
 
   // The library prescribes these names.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -133,7 +134,8 @@
 
   bool Open(json&& aContainer)
   {
-    if (!Take(kContainerBytes)) {
+    isTooDeep_ = open_.size() >= kMaxJsonDepth;
+    if (isTooDeep_ || !Take(kContainerBytes)) {
       return false;
     }
     json* added = Add(std::move(aContainer));
@@ -149,6 +151,7 @@
 
   const ReserveHook& reserve_;
   ReserveOutcome outcome_ = ReserveOutcome::Reserved;
+  bool isTooDeep_ = false;
   std::size_t reserved_ = 0;
   std::size_t unused_ = 0; //!< Part of reserved_.
   json document_;
@@ -170,6 +173,11 @@
   if (builder.Outcome() != ReserveOutcome::Reserved) {
     return ReserveError(builder.Outcome());
   }
+  if (builder.IsTooDeep()) {
+    return Error::NotRun("parse JSON",
+                         Reason::MalformedRequest,
+                         "the document has too many levels");
+  }
   return json(json::value_t::discarded);
 }
 
--- a/tests/adapters/AdaptersTest.cpp
+++ b/tests/adapters/AdaptersTest.cpp
@@ -133,6 +133,27 @@
   }
 }
 
+std::string Times(std::size_t aCount, std::string_view aText)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    text += aText;
+  }
+  return text;
+}
+
+// Guards against a document whose many levels exhaust the stack when a fault
+// quotes them.
+TEST(Adapters, RefusesConfigurationsOfManyLevels)
+{
+  constexpr std::size_t kLevels = 500000;
+  const std::string text =
+    R"({"callers":)" + Times(kLevels, "[") + Times(kLevels, "]") + "}";
+  const auto parsed = ParseConfiguration(std::string_view(text));
+  CHECK(parsed.has_error());
+  CHECK(parsed.error().reason == Reason::MalformedRequest);
+}
+
 TEST(Adapters, RejectsUndecodableRecords)
 {
   for (const UndecodableRow& row : kUndecodableRows) {
--- a/tests/net/JsonDocumentTest.cpp
+++ b/tests/net/JsonDocumentTest.cpp
@@ -42,6 +42,8 @@
   { "the first of two equal members kept", R"({"a":1,"a":{"b":2}})" },
   { "members mixed up after a nested value",
     R"({"a":{"b":[{"c":null},[]]},"d":true,"e":[[],{}]})" },
+  { "the most levels refused",
+    Times(kMaxJsonDepth, "[") + Times(kMaxJsonDepth, "]") },
 };
 
 //! A text with a budget for all connections.
@@ -68,6 +70,16 @@
     kLeastBudget,
     0,
     "" },
+  { "a stack frame for each of many levels",
+    Times(500000, "[") + Times(500000, "]"),
+    kLeastBudget,
+    0,
+    "malformed-request" },
+  { "many levels of objects",
+    Times(65, R"({"a":)") + "1" + Times(65, "}"),
+    kLeastBudget,
+    0,
+    "malformed-request" },
   { "empty objects that take many times their text",
     "[" + Times(300000, "{},") + "0]",
     kLeastBudget,
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -146,6 +146,35 @@
     } },
 };
 
+//! A single request that is received whole.
+ClientGroup OneRequest(std::string_view aFirstLines,
+                       const std::string& aBody,
+                       std::uint16_t aPort)
+{
+  const std::string bytes = Announced(aFirstLines, aBody.size()) + aBody;
+  return { 1, bytes, "x", bytes.size(), aPort };
+}
+
+std::string Times(std::size_t aCount, std::string_view aText)
+{
+  std::string text;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    text += aText;
+  }
+  return text;
+}
+
+const CrowdRow kCheckRows[] = {
+  { "a document whose levels exhaust the stack",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      constexpr std::size_t kLevels = 500000;
+      return { OneRequest(aTarget.check,
+                          "{\"callers\":" + Times(kLevels, "[") +
+                            Times(kLevels, "]") + "}",
+                          aTarget.checks) };
+    } },
+};
+
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const Target& aTarget,
@@ -283,3 +312,15 @@
 {
   CheckDaemon(kParsedRows);
 }
+
+TEST_GROUP(CheckCrowd){};
+
+TEST(CheckCrowd, PlatformSurvives)
+{
+  CheckPlatform(kCheckRows);
+}
+
+TEST(CheckCrowd, DaemonSurvives)
+{
+  CheckDaemon(kCheckRows);
+}
