Report the first 100 faults of a configuration

Seen: a request of 1 MB to /v1/configuration/check with 330,000 empty entries of "callers" was not answered within 20 s and took hemlockhavend from 9 to 136 MiB; one thread of the pool was busy. A list of 330,000 empty selectors took it to 106 MiB. Cause: each entry adds one to three faults, and each fault of the second check is compared with all of the first. Change: both checks stop at 100 faults. Evidence: the first request is now answered 413 (its document exceeds the reservation), the second one 400 within 0.05 s. adapters, ReportsTheFirstConfigurationFaults; system.CheckCrowd.

--- a/include/hemlockhaven/configuration/Configuration.h
+++ b/include/hemlockhaven/configuration/Configuration.h
@@ -4,6 +4,7 @@
 #include "hemlockhaven/core/Labels.h"
 #include "hemlockhaven/selector/Selector.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -37,6 +38,9 @@
   std::string Describe() const;
 };
 
+//! Further faults of a document are left out.
+constexpr std::size_t kMaxConfigurationFaults = 100;
+
 //! The operators' document.
 struct Configuration
 {
@@ -44,7 +48,7 @@
   std::vector<SteeringRule> steering;
   std::vector<Selector> drained; //!< Endpoints that get nothing new.
 
-  //! All faults; none if the document may be published.
+  //! The first faults; none if the document may be published.
   std::vector<ConfigurationFault> Check() const;
 
   //! The quota of a caller, or null if the document does not name it.
--- a/src/adapters/ConfigurationJson.cpp
+++ b/src/adapters/ConfigurationJson.cpp
@@ -47,6 +47,9 @@
       return false;
     }
     for (const auto& [name, member] : aValue.items()) {
+      if (IsFull()) {
+        break;
+      }
       bool isKnown = false;
       std::string expected = "one of";
       for (const std::string_view allowedMember : aMembers) {
@@ -75,7 +78,7 @@
       AddFault(aName, "a list", *list);
       return;
     }
-    for (std::size_t index = 0; index < list->size(); ++index) {
+    for (std::size_t index = 0; index < list->size() && !IsFull(); ++index) {
       aEntry(std::string(aName) + "[" + std::to_string(index) + "]",
              (*list)[index]);
     }
@@ -137,6 +140,8 @@
   }
 
 private:
+  bool IsFull() const { return faults_.size() >= kMaxConfigurationFaults; }
+
   static std::string JoinPath(const std::string& aPath,
                               const std::string& aName)
   {
--- a/src/configuration/Configuration.cpp
+++ b/src/configuration/Configuration.cpp
@@ -39,7 +39,10 @@
   CheckCount(faults, "steering", steering.size(), kMostRules);
   CheckCount(faults, "drained", drained.size(), kMostRules);
   std::set<std::string_view> names;
-  for (std::size_t index = 0; index < callers.size(); ++index) {
+  const auto isFull = [&faults] {
+    return faults.size() >= kMaxConfigurationFaults;
+  };
+  for (std::size_t index = 0; index < callers.size() && !isFull(); ++index) {
     const CallerQuota& quota = callers[index];
     const std::string path = "callers[" + std::to_string(index) + "]";
     if (quota.caller.empty()) {
@@ -56,7 +59,7 @@
                          std::to_string(quota.weight) });
     }
   }
-  for (std::size_t index = 0; index < drained.size(); ++index) {
+  for (std::size_t index = 0; index < drained.size() && !isFull(); ++index) {
     if (drained[index].Text().empty()) {
       // The empty selector would drain the whole fleet.
       faults.push_back({ "drained[" + std::to_string(index) + "]",
--- a/tests/adapters/AdaptersTest.cpp
+++ b/tests/adapters/AdaptersTest.cpp
@@ -142,6 +142,42 @@
   return text;
 }
 
+//! A document with more faults than are reported.
+struct FaultyRow
+{
+  const char* guardsAgainst;
+  std::string text;
+};
+
+const FaultyRow kFaultyRows[] = {
+  { "a fault for each entry",
+    R"({"callers":[)" + Times(30000, "{},") + "{}]}" },
+  { "a fault for each member",
+    "{" +
+      [] {
+        std::string members;
+        for (int i = 0; i < 30000; ++i) {
+          members += "\"x" + std::to_string(i) + "\":0,";
+        }
+        return members;
+      }() +
+      R"("x":0})" },
+  { "a fault for each entry that is checked later",
+    R"({"drained":[)" + Times(30000, R"("",)") + R"(""]})" },
+};
+
+TEST(Adapters, ReportsTheFirstConfigurationFaults)
+{
+  for (const FaultyRow& row : kFaultyRows) {
+    const auto parsed = ParseConfiguration(std::string_view(row.text));
+    CHECK_TEXT(parsed.has_value(), row.guardsAgainst);
+    // The last entry may have several.
+    const std::size_t faults = parsed.value().faults.size();
+    CHECK_TEXT(faults > 0 && faults < kMaxConfigurationFaults + 4,
+               row.guardsAgainst);
+  }
+}
+
 // Guards against a document whose many levels exhaust the stack when a fault
 // quotes them.
 TEST(Adapters, RefusesConfigurationsOfManyLevels)
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -173,6 +173,12 @@
                             Times(kLevels, "]") + "}",
                           aTarget.checks) };
     } },
+  { "a document with a fault in each of many entries",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { OneRequest(aTarget.check,
+                          "{\"drained\":[" + Times(330000, "\"\",") + "\"\"]}",
+                          aTarget.checks) };
+    } },
 };
 
 //! The crowd is still connected when the ordinary requests are sent.
