Bound a submission's selector by 16,384 bytes

Seen: a submission with a selector of 1 MB, a list of 500,000 values, took hemlockhavend from 9 to 44 MiB, and was compared value by value with the labels of each endpoint. Cause: a parsed selector takes 24 to 48 times its text, and the work for it grows with its length times the endpoints. Change: ParseSubmission refuses a longer one with 400 and reserves the memory of the parsed one. The bound is that of a header, which bounds the selectors of operators' queries already.

--- a/src/http/JsonCodec.cpp
+++ b/src/http/JsonCodec.cpp
@@ -26,6 +26,12 @@
     { "urgent", Urgency::Urgent } }
 };
 
+//! A long selector costs time for each endpoint and task.
+constexpr std::size_t kMaxSelectorBytes = 16384;
+//! Bytes of a parsed selector for each byte of its text: an entry of a list of
+//! values takes two bytes, and 48 while the list grows.
+constexpr std::size_t kSelectorFactor = 48;
+
 constexpr std::array<std::string_view, 12> kKnownMembers{
   "caller",     "kind",       "urgency",    "labels",  "selector", "needs",
   "deadlineMs", "declaredMs", "idempotent", "payload", "tasks",    "waitMs"
@@ -197,6 +203,15 @@
   BOOST_OUTCOME_TRY(ReadUrgency(body, spec.urgency));
   BOOST_OUTCOME_TRY(ReadLabels(body, spec.labels));
   BOOST_OUTCOME_TRY(text, ReadText(body, "selector", false));
+  if (text.size() > kMaxSelectorBytes) {
+    return Malformed("selector", "expected at most 16384 bytes");
+  }
+  if (aReserve) {
+    const ReserveOutcome reserved = aReserve(kSelectorFactor * text.size());
+    if (reserved != ReserveOutcome::Reserved) {
+      return ReserveError(reserved);
+    }
+  }
   BOOST_OUTCOME_TRY(selector, Selector::Parse(text));
   spec.selector = std::move(selector);
   BOOST_OUTCOME_TRY(ReadNeeds(body, spec.needs));
--- a/tests/http/CallerApiTest.cpp
+++ b/tests/http/CallerApiTest.cpp
@@ -85,6 +85,50 @@
 
 // Guards against a refusal that says "not run" after the work started, and
 // against callers over the bound that hold a thread.
+//! A request that needs memory beside its body.
+struct MemoryRow
+{
+  const char* guardsAgainst;
+  std::string selector; //!< Of a submission.
+  ReserveOutcome outcome;
+  unsigned status;
+};
+
+const MemoryRow kMemoryRows[] = {
+  { "a long selector refused",
+    "trade = canopy and x not in (" + std::string(16000, 'a') + ")",
+    ReserveOutcome::Reserved,
+    200 },
+  { "a selector that costs time for each endpoint",
+    "trade = canopy and x not in (" + std::string(17000, 'a') + ")",
+    ReserveOutcome::Reserved,
+    400 },
+  { "a submission accepted without memory for it",
+    "trade = canopy",
+    ReserveOutcome::Exhausted,
+    429 },
+};
+
+TEST(CallerApi, ReservesMemoryBeforeItIsUsed)
+{
+  for (const MemoryRow& row : kMemoryRows) {
+    const TestNode test;
+    CallerApi api(*test.node, summaries, {});
+    const std::string body =
+      R"({"caller":"a","kind":"k","payload":"1","selector":")" + row.selector +
+      R"("})";
+    const std::string path = PathOf(*test.node);
+    HttpRequestView request{ "PUT", path, "", body };
+    request.reserve = [&row](std::size_t) { return row.outcome; };
+    const HttpReply reply = api.Handle(request);
+    LONGS_EQUAL_TEXT(row.status, reply.status, row.guardsAgainst);
+    if (row.outcome == ReserveOutcome::Exhausted) {
+      STRCMP_EQUAL_TEXT("not run", RanIn(reply).c_str(), row.guardsAgainst);
+      CHECK_TEXT(reply.retryAfter > Duration(0), row.guardsAgainst);
+    }
+  }
+}
+
 TEST(CallerApi, RefusesCallersOverTheBoundBeforeTheyStart)
 {
   TestNode test(false);
