Reserve the memory of replies with many ids

Seen: 200 connections that ask for 10,000 ids ten times each and do not read took hemlockhavend with 128 MB to 142 to 151 MiB. Cause: the reply is built as a document of 1 MB and a text by as many threads as the pool has, and charged only when it is written. Change: /v1/ids reserves 320 bytes an id before it builds the reply. Without the memory the answer is 429 with Retry-After, and no id is reserved.

--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -1,5 +1,7 @@
 #include "http/CallerApi.h"
 
+#include "net/JsonDocument.h"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -9,6 +11,8 @@
 namespace {
 
 constexpr std::uint32_t kMostIds = 10'000;
+//! An id in the reply, as a value and as text.
+constexpr std::size_t kBytesPerId = 320;
 
 //! When a caller over the bound on waiting callers should try again.
 constexpr Duration kWaitingRetryAfter = std::chrono::seconds(1);
@@ -95,6 +99,12 @@
                                  Reason::MalformedRequest,
                                  "count: expected a number from 1 to 10000"));
   }
+  if (aRequest.reserve) {
+    const ReserveOutcome reserved = aRequest.reserve(count * kBytesPerId);
+    if (reserved != ReserveOutcome::Reserved) {
+      return Refuse(ReserveError(reserved));
+    }
+  }
   auto first = node_.ReserveIds(static_cast<std::uint32_t>(count));
   if (first.has_error()) {
     return ReplyOf(first.error());
--- a/tests/http/CallerApiTest.cpp
+++ b/tests/http/CallerApiTest.cpp
@@ -89,12 +89,17 @@
 struct MemoryRow
 {
   const char* guardsAgainst;
-  std::string selector; //!< Of a submission.
+  std::string selector; //!< Of a submission; empty: ids are asked for.
   ReserveOutcome outcome;
   unsigned status;
 };
 
 const MemoryRow kMemoryRows[] = {
+  { "ids refused while there is memory", "", ReserveOutcome::Reserved, 200 },
+  { "replies of many ids that nothing bounds",
+    "",
+    ReserveOutcome::Exhausted,
+    429 },
   { "a long selector refused",
     "trade = canopy and x not in (" + std::string(16000, 'a') + ")",
     ReserveOutcome::Reserved,
@@ -118,7 +123,10 @@
       R"({"caller":"a","kind":"k","payload":"1","selector":")" + row.selector +
       R"("})";
     const std::string path = PathOf(*test.node);
-    HttpRequestView request{ "PUT", path, "", body };
+    HttpRequestView request =
+      row.selector.empty()
+        ? HttpRequestView{ "POST", "/v1/ids", "count=10000", "" }
+        : HttpRequestView{ "PUT", path, "", body };
     request.reserve = [&row](std::size_t) { return row.outcome; };
     const HttpReply reply = api.Handle(request);
     LONGS_EQUAL_TEXT(row.status, reply.status, row.guardsAgainst);
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -100,6 +100,15 @@
   return { aConnections, head, "x", head.size() + kMiB - 2, aPort };
 }
 
+//! Requests for many ids, whose replies are not read.
+ClientGroup UnreadIds(std::size_t aConnections, std::uint16_t aPort)
+{
+  constexpr std::size_t kRequests = 10;
+  const std::string request = "POST /v1/ids?count=10000 HTTP/1.1\r\nHost: h\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  return { aConnections, "", request, kRequests * request.size(), aPort };
+}
+
 const CrowdRow kFieldRows[] = {
   { "header fields that take many times their bytes in the header",
     [](const Target& aTarget) -> std::vector<ClientGroup> {
@@ -181,6 +190,13 @@
     } },
 };
 
+const CrowdRow kReplyRows[] = {
+  { "replies of many ids that are built at the same time",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { UnreadIds(200, aTarget.callers) };
+    } },
+};
+
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const Target& aTarget,
@@ -330,3 +346,15 @@
 {
   CheckDaemon(kCheckRows);
 }
+
+TEST_GROUP(ReplyCrowd){};
+
+TEST(ReplyCrowd, PlatformSurvives)
+{
+  CheckPlatform(kReplyRows);
+}
+
+TEST(ReplyCrowd, DaemonSurvives)
+{
+  CheckDaemon(kReplyRows);
+}
