--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -197,6 +197,27 @@
     } },
 };
 
+const CrowdRow kMixedRows[] = {
+  { "crowds of several kinds at all listeners, each within its own bound",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      const std::string trailers =
+        Chunked(aTarget.submission, "1\r\nx\r\n0\r\n");
+      const std::string chunks = Chunked(aTarget.submission, "");
+      return {
+        { 8, trailers, "X-T: 0123456789\r\n", 8 * kMiB, aTarget.callers },
+        { 20, chunks, "1\r\nx\r\n", kMiB, aTarget.callers },
+        SmallFields(100, aTarget.submission, aTarget.callers),
+        UnfinishedChunks(150, aTarget.submission, aTarget.callers),
+        WholeBodies(20, aTarget.submission, "{\"x\":[", "{},", aTarget.callers),
+        WholeBodies(20, aTarget.submission, "{\"x\":", "[", aTarget.callers),
+        UnreadIds(50, aTarget.callers),
+        WholeBodies(20, aTarget.check, "{\"x\":", "[", aTarget.checks),
+        SmallFields(80, aTarget.check, aTarget.checks),
+        UnfinishedChunks(80, aTarget.check, aTarget.metrics)
+      };
+    } },
+};
+
 //! The crowd is still connected when the ordinary requests are sent.
 void CheckSurvives(LoneDaemon& aDaemon,
                    const Target& aTarget,
@@ -358,3 +379,15 @@
 {
   CheckDaemon(kReplyRows);
 }
+
+TEST_GROUP(MixedCrowd){};
+
+TEST(MixedCrowd, PlatformSurvives)
+{
+  CheckPlatform(kMixedRows);
+}
+
+TEST(MixedCrowd, DaemonSurvives)
+{
+  CheckDaemon(kMixedRows);
+}
