Tell the truth of a repeat for which memory is not reserved

A repeat under an id or a key whose first submission may have run was answered "not run" when the memory for its body was not there. It now gets the first one's answer, or "unknown" with Retry-After, as it does when too many callers wait. http.CallerApi, TellsTheTruthOfARepeatWithoutMemory.

--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -143,6 +143,9 @@
                                 "the epoch is from GET /v1/epoch"));
   }
   auto spec = ParseSubmission(aRequest.body, aKind, aRequest.reserve);
+  if (spec.has_error() && spec.error().reason == Reason::TooManyWaiting) {
+    return RefuseWaitingKey(spec.error().detail);
+  }
   if (spec.has_error()) {
     return Refuse(spec.error());
   }
@@ -152,13 +155,7 @@
   const TimePoint start = SteadyNow();
   const WaitingPlace place(waiting_, limits_.waitingCallers, wait);
   if (!place.IsGiven()) {
-    // An earlier submission of the key may have started at any daemon.
-    return Refuse(Error::Unknown("submit by key",
-                                 "",
-                                 Reason::TooManyWaiting,
-                                 "too many callers wait for answers here; send "
-                                 "it again under the same key",
-                                 kWaitingRetryAfter));
+    return RefuseWaitingKey("too many callers wait for answers here");
   }
   const KeyHash hash = KeyHash::Of(spec.value().caller, *key);
   const auto id = node_.SubmitByKey(hash, *epoch, std::move(spec.value()));
@@ -219,6 +216,9 @@
     return NoRoute(aRequest);
   }
   auto spec = ParseSubmission(aRequest.body, aKind, aRequest.reserve);
+  if (spec.has_error() && spec.error().reason == Reason::TooManyWaiting) {
+    return RefuseWaiting(id.value(), aKind, spec.error().detail);
+  }
   if (spec.has_error()) {
     return Refuse(spec.error());
   }
@@ -239,7 +239,7 @@
   // truly "not run".
   const WaitingPlace place(waiting_, limits_.waitingCallers, aWait);
   if (!place.IsGiven()) {
-    return RefuseWaiting(aId, aKind);
+    return RefuseWaiting(aId, aKind, "too many callers wait for answers here");
   }
   const auto submitted = node_.Submit(aId, std::move(aSpec));
   if (submitted.has_error()) {
@@ -253,13 +253,12 @@
 }
 
 HttpReply CallerApi::RefuseWaiting(const SubmissionId& aId,
-                                   SubmissionKind aKind)
+                                   SubmissionKind aKind,
+                                   std::string_view aDetail)
 {
   if (node_.IsUnused(aId)) {
-    return Refuse(Error::NotRun("submit",
-                                Reason::TooManyWaiting,
-                                "too many callers wait for answers here",
-                                kWaitingRetryAfter));
+    return Refuse(Error::NotRun(
+      "submit", Reason::TooManyWaiting, aDetail, kWaitingRetryAfter));
   }
   // An earlier submission under this id may have started, here or at its
   // home, so that "not run" could be false.
@@ -269,12 +268,23 @@
       return ReplyTo(answer, aKind);
     }
   }
-  return Refuse(Error::Unknown("submit",
-                               aId.home.node,
-                               Reason::TooManyWaiting,
-                               "too many callers wait for answers here; send "
-                               "it again under the same id",
-                               kWaitingRetryAfter));
+  return Refuse(
+    Error::Unknown("submit",
+                   aId.home.node,
+                   Reason::TooManyWaiting,
+                   std::string(aDetail) + "; send it again under the same id",
+                   kWaitingRetryAfter));
+}
+
+HttpReply CallerApi::RefuseWaitingKey(std::string_view aDetail)
+{
+  // An earlier submission of the key may have started at any daemon.
+  return Refuse(
+    Error::Unknown("submit by key",
+                   "",
+                   Reason::TooManyWaiting,
+                   std::string(aDetail) + "; send it again under the same key",
+                   kWaitingRetryAfter));
 }
 
 HttpReply CallerApi::WaitFor(const SubmissionId& aId,
--- a/src/http/CallerApi.h
+++ b/src/http/CallerApi.h
@@ -44,7 +44,10 @@
                    JobSpec&& aSpec,
                    SubmissionKind aKind,
                    Duration aWait);
-  HttpReply RefuseWaiting(const SubmissionId& aId, SubmissionKind aKind);
+  HttpReply RefuseWaiting(const SubmissionId& aId,
+                          SubmissionKind aKind,
+                          std::string_view aDetail);
+  HttpReply RefuseWaitingKey(std::string_view aDetail);
   HttpReply WaitFor(const SubmissionId& aId,
                     SubmissionKind aKind,
                     Duration aWait);
--- a/tests/http/CallerApiTest.cpp
+++ b/tests/http/CallerApiTest.cpp
@@ -137,6 +137,74 @@
   }
 }
 
+// Guards against "not run" for a repeat whose first submission has run.
+TEST(CallerApi, TellsTheTruthOfARepeatWithoutMemory)
+{
+  const TestNode test;
+  CallerApi api(*test.node, summaries, {});
+  const std::string path = PathOf(*test.node);
+  LONGS_EQUAL(200, api.Handle({ "PUT", path, "", kBody }).status);
+  HttpRequestView repeat{ "PUT", path, "", kBody };
+  repeat.reserve = [](std::size_t) { return ReserveOutcome::Exhausted; };
+  LONGS_EQUAL(200, api.Handle(repeat).status);
+  HttpRequestView keyed{ "PUT", "/v1/requests", "key=a&epoch=0", kBody };
+  keyed.reserve = repeat.reserve;
+  STRCMP_EQUAL("unknown", RanIn(api.Handle(keyed)).c_str());
+}
+
+std::string LabelsOf(std::size_t aCount, std::size_t aValueBytes)
+{
+  std::string labels;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    labels.append(labels.empty() ? "\"" : ",\"").append(std::to_string(i));
+    labels.append("\":\"").append(aValueBytes, 'x').append("\"");
+  }
+  return R"("labels":{)" + labels + "}";
+}
+
+//! What accepted work keeps beside its payload.
+struct KeptRow
+{
+  const char* guardsAgainst;
+  std::string members; //!< Instead of the usual ones.
+  unsigned status;
+};
+
+const KeptRow kKeptRows[] = {
+  { "the most labels refused",
+    R"("caller":"a","kind":"k",)" + LabelsOf(64, 60),
+    200 },
+  { "labels without a bound on their number",
+    R"("caller":"a","kind":"k",)" + LabelsOf(65, 0),
+    400 },
+  { "labels without a bound on their bytes",
+    R"("caller":"a","kind":"k",)" + LabelsOf(64, 64),
+    400 },
+  { "the longest names refused",
+    R"("caller":")" + std::string(1024, 'a') + R"(","kind":")" +
+      std::string(1024, 'k') + R"(")",
+    200 },
+  { "accounts by names without a bound",
+    R"("caller":")" + std::string(1025, 'a') + R"(","kind":"k")",
+    400 },
+  { "learned times by names without a bound",
+    R"("caller":"a","kind":")" + std::string(1025, 'k') + R"(")",
+    400 },
+};
+
+TEST(CallerApi, BoundsWhatAcceptedWorkKeeps)
+{
+  for (const KeptRow& row : kKeptRows) {
+    const TestNode test;
+    CallerApi api(*test.node, summaries, {});
+    const std::string body = "{" + row.members + R"(,"payload":"1"})";
+    const std::string path = PathOf(*test.node);
+    LONGS_EQUAL_TEXT(row.status,
+                     api.Handle({ "PUT", path, "", body }).status,
+                     row.guardsAgainst);
+  }
+}
+
 TEST(CallerApi, RefusesCallersOverTheBoundBeforeTheyStart)
 {
   TestNode test(false);
