Bound the labels and names of a submission, and the bytes of the history

Seen: 160 accepted requests with 60,000 labels each (540 KB) took hemlockhavend with 128 MB to 1,221 MiB; the history kept them after their end. Cause: a label takes about 12 times its text, nothing charges what accepted work holds beside its payload, and the history counts records and not their bytes. Change: a submission has at most 64 labels of 4,096 bytes in all, and 1,024 bytes each for caller and kind; else 400. The history holds at most 16 MiB, beyond which its oldest records make room. Callers mark work with a few labels such as trade, urgency and zone.

--- a/include/hemlockhaven/history/HistoryBook.h
+++ b/include/hemlockhaven/history/HistoryBook.h
@@ -20,8 +20,11 @@
 {
 public:
   static constexpr std::size_t kDefaultRecords = 20000;
+  static constexpr std::size_t kDefaultBytes = std::size_t{ 16 } << 20U;
 
-  explicit HistoryBook(std::size_t aMost = kDefaultRecords);
+  //! The oldest records make room for newer ones beyond either bound.
+  explicit HistoryBook(std::size_t aMost = kDefaultRecords,
+                       std::size_t aMostBytes = kDefaultBytes);
 
   //! Adds the record or replaces the one with the same id. A record that is
   //! over is not replaced by one that is not.
@@ -40,11 +43,13 @@
   {
     mutable std::mutex mutex;
     std::deque<RequestRecord> records;
+    std::size_t bytes = 0; //!< Of the records, approximately.
     //! Views into the ids of records; elements of a deque do not move.
     std::unordered_map<std::string_view, RequestRecord*> byId;
   };
 
   std::size_t mostPerShard_;
+  std::size_t mostBytesPerShard_;
   std::atomic<std::uint64_t> evicted_{ 0 };
   std::array<Shard, kShards> shards_;
 };
--- a/src/history/HistoryBook.cpp
+++ b/src/history/HistoryBook.cpp
@@ -5,8 +5,29 @@
 
 namespace hemlockhaven {
 
-HistoryBook::HistoryBook(std::size_t aMost)
+namespace {
+
+std::size_t SizeOf(const Labels& aLabels)
+{
+  std::size_t bytes = 0;
+  for (const Labels::Item& item : aLabels.Items()) {
+    bytes += sizeof(item) + item.first.size() + item.second.size();
+  }
+  return bytes;
+}
+
+std::size_t SizeOf(const RequestRecord& aRecord)
+{
+  return sizeof(aRecord) + aRecord.id.size() + aRecord.caller.size() +
+         aRecord.kind.size() + aRecord.zone.size() + SizeOf(aRecord.labels) +
+         SizeOf(aRecord.endpointLabels);
+}
+
+}
+
+HistoryBook::HistoryBook(std::size_t aMost, std::size_t aMostBytes)
   : mostPerShard_(std::max<std::size_t>(aMost / kShards, 1))
+  , mostBytesPerShard_(aMostBytes / kShards)
 {
 }
 
@@ -21,16 +42,21 @@
     if (known.endedMs == 0 || aRecord.endedMs != 0) {
       // The map's key is a view of the known id, so it goes first.
       shard.byId.erase(found);
+      shard.bytes += SizeOf(aRecord) - SizeOf(known); // May wrap around.
       known = aRecord;
       shard.byId.emplace(known.id, &known);
     }
     return;
   }
-  if (shard.records.size() >= mostPerShard_) {
+  const std::size_t bytes = SizeOf(aRecord);
+  while (!shard.records.empty() && (shard.records.size() >= mostPerShard_ ||
+                                    shard.bytes + bytes > mostBytesPerShard_)) {
+    shard.bytes -= SizeOf(shard.records.front());
     shard.byId.erase(shard.records.front().id);
     shard.records.pop_front();
     ++evicted_;
   }
+  shard.bytes += bytes;
   RequestRecord& added = shard.records.emplace_back(aRecord);
   shard.byId.emplace(added.id, &added);
 }
--- a/src/http/JsonCodec.cpp
+++ b/src/http/JsonCodec.cpp
@@ -26,6 +26,11 @@
     { "urgent", Urgency::Urgent } }
 };
 
+//! The caller's name and the kind are keys of accounts.
+constexpr std::size_t kMaxNameBytes = 1024;
+//! Labels stay in the history after a job is over.
+constexpr std::size_t kMaxLabels = 64;
+constexpr std::size_t kMaxLabelBytes = 4096; //!< Keys and values of a job.
 //! A long selector costs time for each endpoint and task.
 constexpr std::size_t kMaxSelectorBytes = 16384;
 //! Bytes of a parsed selector for each byte of its text: an entry of a list of
@@ -62,6 +67,16 @@
   return found->get<std::string>();
 }
 
+//! A text that has to be present.
+Result<std::string> ReadName(const json& aBody, const char* aMember)
+{
+  auto name = ReadText(aBody, aMember, true);
+  if (name.has_value() && name.value().size() > kMaxNameBytes) {
+    return Malformed(aMember, "expected at most 1024 bytes");
+  }
+  return name;
+}
+
 Result<Duration> ReadMilliseconds(const json& aBody, const char* aMember)
 {
   constexpr std::int64_t kMostMs = 3'600'000;
@@ -99,11 +114,20 @@
   if (!found->is_object()) {
     return Malformed("labels", "expected an object of texts");
   }
+  if (found->size() > kMaxLabels) {
+    return Malformed("labels", "expected at most 64 labels");
+  }
+  std::size_t bytes = 0;
   for (const auto& [key, value] : found->items()) {
     if (!value.is_string()) {
       return Malformed("labels." + key, "expected a text");
     }
-    aLabels.Set(key, value.get<std::string>());
+    const auto& text = value.get_ref<const std::string&>();
+    bytes += key.size() + text.size();
+    if (bytes > kMaxLabelBytes) {
+      return Malformed("labels", "expected at most 4096 bytes in all");
+    }
+    aLabels.Set(key, text);
   }
   return outcome::success();
 }
@@ -196,9 +220,9 @@
   }
   BOOST_OUTCOME_TRY(CheckMembers(body));
   JobSpec spec;
-  BOOST_OUTCOME_TRY(caller, ReadText(body, "caller", true));
+  BOOST_OUTCOME_TRY(caller, ReadName(body, "caller"));
   spec.caller = std::move(caller);
-  BOOST_OUTCOME_TRY(kind, ReadText(body, "kind", true));
+  BOOST_OUTCOME_TRY(kind, ReadName(body, "kind"));
   spec.kind = std::move(kind);
   BOOST_OUTCOME_TRY(ReadUrgency(body, spec.urgency));
   BOOST_OUTCOME_TRY(ReadLabels(body, spec.labels));
--- a/tests/history/HistoryTest.cpp
+++ b/tests/history/HistoryTest.cpp
@@ -172,6 +172,30 @@
   CHECK(book.Query(query).front().submittedMs < found[0].submittedMs);
 }
 
+// Guards against records with long texts that take more memory than many usual
+// ones.
+TEST(History, BookBoundsTheBytesOfItsRecords)
+{
+  constexpr std::size_t kMostBytes = 1600000;
+  constexpr std::size_t kValueBytes = 4000;
+  constexpr int kRecords = 1000;
+  HistoryBook book(100 * kRecords, kMostBytes);
+  RequestRecord record;
+  for (int index = 0; index < kRecords; ++index) {
+    record.id = "id-" + std::to_string(index);
+    record.submittedMs = index;
+    book.Record(record);
+    record.labels.Set("x", std::string(kValueBytes, 'x'));
+    book.Record(record);
+  }
+  WhereQuery query;
+  query.most = kRecords;
+  const auto found = book.Query(query);
+  CHECK(found.size() <= kMostBytes / kValueBytes);
+  CHECK(found.size() >= kMostBytes / kValueBytes / 2);
+  LONGS_EQUAL(kRecords - 1, found.front().submittedMs);
+}
+
 // Guards against more than one append a second and against losses that nobody
 // counts.
 TEST(History, BatcherBoundsAndCounts)
