Bound the queue by the machine's memory, and count all that a task holds

Seen: 16,000 accepted requests with 60 labels took hemlockhavend with 128 MB to 160 MiB, and queued payloads of 1 MB to 80 MiB (bound 67.1 MiB). Cause: limits.queuedBytes counts payloads alone, and its default of 64 MiB does not depend on the machine. Change: the first queued task of a job also counts the caller, kind, labels and selector, and the queue is bounded by 15% of memoryMb if that is less. Beyond it submissions are refused with queue-full, as before.

--- a/include/hemlockhaven/job/JobSpec.h
+++ b/include/hemlockhaven/job/JobSpec.h
@@ -53,6 +53,10 @@
   std::vector<std::string> payloads; //!< One for each task.
 };
 
+//! Approximate bytes that a queued task holds. The first one of a job also has
+//! what its tasks share.
+std::size_t QueuedBytes(const JobSpec& aSpec, std::size_t aIndex);
+
 //! Hash of everything in the specification, to tell a repeated submission from
 //! another one under the same id. Equal on all daemons of one version.
 std::uint64_t HashOf(const JobSpec& aSpec);
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -52,7 +52,8 @@
   NodeLimits limits;
   limits.dispatcher.shards = aSettings.threads;
   limits.dispatcher.queuedTasks = aSettings.limits.queuedTasks;
-  limits.dispatcher.queuedBytes = aSettings.limits.queuedBytes;
+  limits.dispatcher.queuedBytes =
+    std::min(aSettings.limits.queuedBytes, MaxQueuedBytes(aSettings.memoryMb));
   limits.dispatcher.defaultDeadline = aSettings.limits.defaultDeadline;
   limits.dispatcher.attemptFloor = aSettings.limits.attemptFloor;
   limits.dispatcher.attemptCeiling = aSettings.limits.attemptCeiling;
@@ -189,8 +190,7 @@
   options.address = aAddress.address;
   options.port = aAddress.port;
   // One body must not take the whole budget.
-  options.bodyBytes =
-    std::min(settings_.limits.bodyBytes, plan_.maxBodyBytes);
+  options.bodyBytes = std::min(settings_.limits.bodyBytes, plan_.maxBodyBytes);
   options.readTimeout = settings_.limits.readTimeout;
   options.receiveBufferBytes = plan_.receiveBufferBytes;
   options.sendBufferBytes = plan_.sendBufferBytes;
--- a/src/dispatch/Dispatcher.cpp
+++ b/src/dispatch/Dispatcher.cpp
@@ -111,8 +111,8 @@
       (spec.deadline > Duration{ 0 } ? spec.deadline : limits_.defaultDeadline);
   }
   std::size_t bytes = 0;
-  for (const std::string& payload : spec.payloads) {
-    bytes += payload.size();
+  for (std::size_t index = 0; index < spec.payloads.size(); ++index) {
+    bytes += QueuedBytes(spec, index);
   }
   if (!totals_->HasRoom(spec.payloads.size(),
                         bytes,
--- a/src/dispatch/DispatcherShard.cpp
+++ b/src/dispatch/DispatcherShard.cpp
@@ -208,7 +208,7 @@
       outcome.error.detail = "the deadline passed before it could start";
     }
     hooks_.counters->Refused(outcome.error.reason);
-    bytes_ -= group.spec.payloads[tasks.next].size();
+    bytes_ -= QueuedBytes(group.spec, tasks.next);
     --droppedTasks_;
     aTo.end.push_back({ tasks.group, tasks.next, std::move(outcome) });
     if (++tasks.next == tasks.end) {
@@ -589,7 +589,7 @@
 {
   std::size_t bytes = 0;
   for (std::uint32_t index = aTasks.next; index < aTasks.end; ++index) {
-    bytes += aTasks.group->spec.payloads[index].size();
+    bytes += QueuedBytes(aTasks.group->spec, index);
   }
   return bytes;
 }
--- a/src/job/JobSpec.cpp
+++ b/src/job/JobSpec.cpp
@@ -37,6 +37,21 @@
 
 }
 
+std::size_t QueuedBytes(const JobSpec& aSpec, std::size_t aIndex)
+{
+  // A condition of a parsed selector takes many times its text.
+  constexpr std::size_t kSelectorFactor = 24;
+  std::size_t bytes = aSpec.payloads[aIndex].size();
+  if (aIndex == 0) {
+    bytes += aSpec.caller.size() + aSpec.kind.size() +
+             kSelectorFactor * aSpec.selector.Text().size();
+    for (const Labels::Item& label : aSpec.labels.Items()) {
+      bytes += sizeof(label) + label.first.size() + label.second.size();
+    }
+  }
+  return bytes;
+}
+
 std::uint64_t HashOf(const JobSpec& aSpec)
 {
   SpecHash hash;
--- a/src/net/ConnectionPlan.cpp
+++ b/src/net/ConnectionPlan.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kBudgetPercent = 25;
 constexpr std::size_t kReceivePercent = 30;
 constexpr std::size_t kSendPercent = 15;
+//! Of the process's own part.
+constexpr std::size_t kQueuePercent = 15;
 //! Smaller buffers need many round trips for a usual request of 4 KB; larger
 //! ones have no use on connections with such requests.
 constexpr std::size_t kMinReceiveBytes = 8192;
@@ -46,6 +48,11 @@
   return plan;
 }
 
+std::size_t MaxQueuedBytes(std::size_t aMemoryMb)
+{
+  return kQueuePercent * (aMemoryMb * kBytesPerMb / 100);
+}
+
 void ReturnFreedBodies()
 {
   // glibc raises this threshold when such a block is freed for the first time,
--- a/src/net/ConnectionPlan.h
+++ b/src/net/ConnectionPlan.h
@@ -25,6 +25,9 @@
                                std::size_t aDescriptors,
                                std::size_t aWantedConnections);
 
+//! The most that queued tasks may hold on a machine with the given memory.
+std::size_t MaxQueuedBytes(std::size_t aMemoryMb);
+
 //! Makes the allocator return freed bodies to the system at once. Call it
 //! before the first connection.
 void ReturnFreedBodies();
--- a/tests/system/ClientCrowdTest.cpp
+++ b/tests/system/ClientCrowdTest.cpp
@@ -197,6 +197,50 @@
     } },
 };
 
+//! Jobs that are accepted and not waited for.
+ClientGroup AcceptedJobs(std::size_t aConnections,
+                         std::size_t aRequests,
+                         const nlohmann::json& aMembers,
+                         std::uint16_t aPort)
+{
+  nlohmann::json body = { { "caller", "c" },
+                          { "kind", "k" },
+                          { "idempotent", true },
+                          { "payload", "1" } };
+  body.update(aMembers);
+  const std::string text = body.dump();
+  const std::string request =
+    Announced("POST /v1/requests?waitMs=0 HTTP/1.1\r\nHost: h\r\n",
+              text.size()) +
+    text;
+  return { aConnections, "", request, aRequests * request.size(), aPort };
+}
+
+nlohmann::json ManyLabels(std::size_t aCount, std::size_t aValueBytes)
+{
+  nlohmann::json labels = nlohmann::json::object();
+  for (std::size_t i = 0; i < aCount; ++i) {
+    labels[std::to_string(i)] = std::string(aValueBytes, 'x');
+  }
+  return { { "labels", labels } };
+}
+
+const CrowdRow kAcceptedRows[] = {
+  { "labels of accepted jobs that take many times their text",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { AcceptedJobs(4, 40, ManyLabels(60000, 0), aTarget.callers) };
+    } },
+  { "labels of accepted jobs that stay in the queue and the history",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { AcceptedJobs(8, 2000, ManyLabels(60, 55), aTarget.callers) };
+    } },
+  { "queued payloads beyond the memory of the machine",
+    [](const Target& aTarget) -> std::vector<ClientGroup> {
+      return { AcceptedJobs(
+        4, 30, { { "payload", std::string(1000000, 'x') } }, aTarget.callers) };
+    } },
+};
+
 const CrowdRow kMixedRows[] = {
   { "crowds of several kinds at all listeners, each within its own bound",
     [](const Target& aTarget) -> std::vector<ClientGroup> {
@@ -292,11 +336,15 @@
   }
 }
 
-//! hemlockhavend, whose metrics are among its checks.
+//! hemlockhavend, whose metrics are among its checks. Its endpoint does not
+//! listen, so that work stays queued.
 void CheckDaemon(Span<const CrowdRow> aRows)
 {
   for (const CrowdRow& row : aRows) {
     PortPicker ports;
+    const nlohmann::json endpoint = { { "id", "e-1" },
+                                      { "address", "127.0.0.1" },
+                                      { "port", ports.Pick() } };
     Target target{ ports.Pick(),
                    ports.Pick(),
                    0,
@@ -311,6 +359,7 @@
                         { "callers", { { "port", target.callers } } },
                         { "operators", { { "port", target.checks } } },
                         { "peerListen", { { "port", ports.Pick() } } },
+                        { "endpoints", { endpoint } },
                         { "memoryMb", kDaemonMemoryMb },
                         { "logLevel", "error" } });
     CheckSurvives(
@@ -380,6 +429,18 @@
   CheckDaemon(kReplyRows);
 }
 
+TEST_GROUP(AcceptedCrowd){};
+
+TEST(AcceptedCrowd, PlatformSurvives)
+{
+  CheckPlatform(kAcceptedRows);
+}
+
+TEST(AcceptedCrowd, DaemonSurvives)
+{
+  CheckDaemon(kAcceptedRows);
+}
+
 TEST_GROUP(MixedCrowd){};
 
 TEST(MixedCrowd, PlatformSurvives)
