--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -39,6 +39,7 @@
       return Malformed("the bytes are no HTTP request");
     case RequestError::HeaderTooLarge:
       return Malformed("the header is too long");
+    case RequestError::DocumentTooLarge:
     case RequestError::BodyTooLarge:
       return ReplyOf(Error::NotRun(
         "read body", Reason::BodyTooLarge, "the body is over the limit"));
@@ -101,7 +102,7 @@
 
 HttpServer::HttpServer(const Options& aOptions, Handler aHandler)
   : handler_(std::move(aHandler))
-  , memory_(aOptions.common.memory)
+  , common_(aOptions.common)
   , pool_(aOptions.maxThreads)
   , listener_(
       context_,
@@ -140,10 +141,15 @@
                                       std::string(aRequest.target),
                                       std::string(aRequest.body) },
                reply = aReply] {
-      const auto reservation = std::make_shared<MemoryReservation>(memory_);
+      const auto reservation =
+        std::make_shared<MemoryReservation>(common_.memory);
       HttpRequestView view = request.View();
-      view.reserve = [&reservation](std::size_t aBytes) {
-        return reservation->Add(aBytes);
+      view.reserve = [this, &reservation](std::size_t aBytes) {
+        const ReserveOutcome outcome = reservation->Add(aBytes);
+        if (outcome != ReserveOutcome::Reserved && common_.onRejection) {
+          common_.onRejection(RequestErrorOf(outcome));
+        }
+        return outcome;
       };
       try {
         OutgoingReply outgoing = Encode(handler_(view));
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -12,7 +12,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <thread>
 
@@ -52,7 +51,7 @@
   void Answer(const IncomingRequest& aRequest, const ReplyHook& aReply);
 
   Handler handler_;
-  const std::shared_ptr<ConnectionMemory> memory_;
+  const HttpListener::Common common_;
   boost::asio::io_context context_{ 1 };
   HandlerPool pool_;
   HttpListener listener_;
--- a/src/net/HttpListener.cpp
+++ b/src/net/HttpListener.cpp
@@ -386,8 +386,12 @@
     };
     request.hasCallerLeft = [this] { return Peek() == CallerState::Left; };
     request.reserve = [this](std::size_t aBytes) {
-      return reservation_ ? reservation_->Add(aBytes)
-                          : ReserveOutcome::Exhausted;
+      const ReserveOutcome outcome =
+        reservation_ ? reservation_->Add(aBytes) : ReserveOutcome::Exhausted;
+      if (outcome != ReserveOutcome::Reserved) {
+        Reject(RequestErrorOf(outcome));
+      }
+      return outcome;
     };
     auto onDisconnect = shared_->handler(
       request, [self = shared_from_this()](OutgoingReply aReply) {
@@ -557,6 +561,7 @@
       reply.status = 431;
       break;
     case RequestError::BodyTooLarge:
+    case RequestError::DocumentTooLarge:
       reply.status = 413;
       break;
     case RequestError::TooSlow:
--- a/src/net/RequestError.cpp
+++ b/src/net/RequestError.cpp
@@ -1,9 +1,16 @@
 #include "net/RequestError.h"
 
 #include "net/ConnectionMemory.h"
+#include "net/MemoryReservation.h"
 
 namespace hemlockhaven {
 
+RequestError RequestErrorOf(ReserveOutcome aOutcome)
+{
+  return aOutcome == ReserveOutcome::TooLarge ? RequestError::DocumentTooLarge
+                                              : RequestError::MemoryExhausted;
+}
+
 std::string_view RequestErrorName(RequestError aError)
 {
   switch (aError) {
@@ -15,6 +22,8 @@
       return "body too long";
     case RequestError::TrailerTooLarge:
       return "trailers too long";
+    case RequestError::DocumentTooLarge:
+      return "document too large";
     case RequestError::TooManyConnections:
       return "too many connections";
     case RequestError::MemoryExhausted:
@@ -43,8 +52,8 @@
                                    const ConnectionMemory& aMemory)
 {
   std::string text =
-    "# HELP hemlockhaven_rejected_requests_total Requests rejected before "
-    "their handler, by reason.\n"
+    "# HELP hemlockhaven_rejected_requests_total Requests rejected by "
+    "the limits of connections, by reason.\n"
     "# TYPE hemlockhaven_rejected_requests_total counter\n";
   for (std::size_t i = 0; i < static_cast<std::size_t>(RequestError::Count);
        ++i) {
--- a/src/net/RequestError.h
+++ b/src/net/RequestError.h
@@ -11,6 +11,7 @@
 namespace hemlockhaven {
 
 class ConnectionMemory;
+enum class ReserveOutcome : std::uint8_t;
 
 //! Why a request was rejected before it reached the handler, or a connection
 //! was closed.
@@ -19,14 +20,18 @@
   Malformed,
   HeaderTooLarge,
   BodyTooLarge,
-  TrailerTooLarge, //!< Or the header of a chunk.
+  TrailerTooLarge,  //!< Or the header of a chunk.
+  DocumentTooLarge, //!< It needs too much memory when it is parsed.
   TooManyConnections,
-  MemoryExhausted, //!< Gave way to other connections.
+  MemoryExhausted, //!< Gave way to other connections, or could not be parsed.
   TooSlow,         //!< The request stopped arriving.
   ReplyNotRead,    //!< Gave way to other connections.
   Count
 };
 
+//! The error of a request for which memory was not reserved.
+RequestError RequestErrorOf(ReserveOutcome aOutcome);
+
 //! The text of the error in logs and metrics.
 std::string_view RequestErrorName(RequestError aError);
 
--- a/tests/net/HttpLimitsTest.cpp
+++ b/tests/net/HttpLimitsTest.cpp
@@ -104,6 +104,11 @@
         aLimits,
         [this](const IncomingRequest& aRequest, ReplyHook aReply) {
           ++handled;
+          constexpr std::string_view kReserve = "/reserve/";
+          if (aRequest.target.substr(0, kReserve.size()) == kReserve) {
+            static_cast<void>(aRequest.reserve(std::stoul(
+              std::string(aRequest.target.substr(kReserve.size())))));
+          }
           if (aRequest.target == "/wait") {
             waiting.push_back(std::move(aReply));
             return DisconnectHook([] {});
@@ -374,6 +379,39 @@
   CHECK(ordinary.HasStatus("200"));
 }
 
+// Guards against a lack of memory that nobody counts, and against memory that
+// stays reserved after the reply.
+TEST(HttpLimits, CountsWhatIsNotReserved)
+{
+  const struct
+  {
+    const char* target;
+    RequestError error; //!< Count: it is reserved.
+  } kRows[] = { { "/reserve/500000", RequestError::DocumentTooLarge },
+                { "/reserve/400000", RequestError::Count },
+                { "/reserve/430000", RequestError::MemoryExhausted } };
+  Fixture fixture;
+  fixture.Open("GET /wait HTTP/1.1\r\n\r\n");
+  fixture.Open(kPost + "Content-Length: 262144\r\n\r\n");
+  CHECK(fixture.RunUntil([&] { return fixture.waiting.size() == 1; }));
+  const auto held = std::make_unique<MemoryReservation>(fixture.memory);
+  CHECK(held->Add(kBudget - 430000) == ReserveOutcome::Reserved);
+  for (const auto& row : kRows) {
+    const std::size_t charged = fixture.memory->ChargedBytes();
+    Client& client =
+      fixture.Open(std::string("GET ") + row.target + " HTTP/1.1\r\n\r\n");
+    CHECK_TEXT(fixture.RunUntil([&] { return !client.reply.empty(); }),
+               row.target);
+    if (row.error != RequestError::Count) {
+      LONGS_EQUAL_TEXT(1, fixture.counts.Value(row.error), row.target);
+    }
+    client.Close();
+    CHECK_TEXT(fixture.RunUntil(
+                 [&] { return fixture.memory->ChargedBytes() <= charged; }),
+               row.target);
+  }
+}
+
 // Guards against limits of the operator that apply only after a restart.
 TEST(HttpLimits, LimitsChangeForTheNextRequest)
 {
