--- a/tests/history/HistoryTest.cpp
+++ b/tests/history/HistoryTest.cpp
@@ -178,12 +178,12 @@
 {
   constexpr std::size_t kMostBytes = 1600000;
   constexpr std::size_t kValueBytes = 4000;
-  constexpr int kRecords = 1000;
+  constexpr std::size_t kRecords = 1000;
   HistoryBook book(100 * kRecords, kMostBytes);
   RequestRecord record;
-  for (int index = 0; index < kRecords; ++index) {
+  for (std::size_t index = 0; index < kRecords; ++index) {
     record.id = "id-" + std::to_string(index);
-    record.submittedMs = index;
+    record.submittedMs = static_cast<std::int64_t>(index);
     book.Record(record);
     record.labels.Set("x", std::string(kValueBytes, 'x'));
     book.Record(record);
