Add a reservation only if it fits, and report its error in one place

A document that did not fit was part of the total for a moment, so that other requests could be refused meanwhile. Reserve now adds by compare-and-swap. TryReserve maps an outcome to the error for ParseJson, selectors and ids.

--- a/src/http/CallerApi.cpp
+++ b/src/http/CallerApi.cpp
@@ -1,6 +1,6 @@
 #include "http/CallerApi.h"
 
-#include "net/JsonDocument.h"
+#include "net/MemoryReservation.h"
 
 #include <algorithm>
 #include <string>
@@ -99,11 +99,9 @@
                                  Reason::MalformedRequest,
                                  "count: expected a number from 1 to 10000"));
   }
-  if (aRequest.reserve) {
-    const ReserveOutcome reserved = aRequest.reserve(count * kBytesPerId);
-    if (reserved != ReserveOutcome::Reserved) {
-      return Refuse(ReserveError(reserved));
-    }
+  const auto reserved = TryReserve(aRequest.reserve, count * kBytesPerId);
+  if (reserved.has_error()) {
+    return Refuse(reserved.error());
   }
   auto first = node_.ReserveIds(static_cast<std::uint32_t>(count));
   if (first.has_error()) {
--- a/src/http/JsonCodec.cpp
+++ b/src/http/JsonCodec.cpp
@@ -230,12 +230,7 @@
   if (text.size() > kMaxSelectorBytes) {
     return Malformed("selector", "expected at most 16384 bytes");
   }
-  if (aReserve) {
-    const ReserveOutcome reserved = aReserve(kSelectorFactor * text.size());
-    if (reserved != ReserveOutcome::Reserved) {
-      return ReserveError(reserved);
-    }
-  }
+  BOOST_OUTCOME_TRY(TryReserve(aReserve, kSelectorFactor * text.size()));
   BOOST_OUTCOME_TRY(selector, Selector::Parse(text));
   spec.selector = std::move(selector);
   BOOST_OUTCOME_TRY(ReadNeeds(body, spec.needs));
--- a/src/net/ConnectionMemory.cpp
+++ b/src/net/ConnectionMemory.cpp
@@ -166,23 +166,32 @@
 
 bool ConnectionMemory::Reserve(std::size_t aBytes, std::size_t aTotalBytes)
 {
-  charged_ += aBytes;
-  const bool isWithin = FreeBudget(
-    [aTotalBytes](ConnectionId /*aOther*/, const Connection& aConnection) {
-      if (aConnection.bytes < aTotalBytes) {
-        return 0U; // Small requests do not give way to a large document.
-      }
-      if (aConnection.phase == ConnectionPhase::Receiving) {
-        return 2U;
+  const auto rank = [aTotalBytes](ConnectionId /*aOther*/,
+                                  const Connection& aConnection) {
+    if (aConnection.bytes < aTotalBytes) {
+      return 0U; // Small requests do not give way to a large document.
+    }
+    if (aConnection.phase == ConnectionPhase::Receiving) {
+      return 2U;
+    }
+    return aConnection.phase == ConnectionPhase::Answering ? 1U : 0U;
+  };
+  for (;;) {
+    std::size_t charged = charged_;
+    // Added only if it fits, so that others are not refused meanwhile.
+    if (charged + aBytes <= budget_ + yielding_ &&
+        charged + aBytes <= budget_ + budget_ / kOvershootDivisor) {
+      if (charged_.compare_exchange_weak(charged, charged + aBytes)) {
+        return true;
       }
-      return aConnection.phase == ConnectionPhase::Answering ? 1U : 0U;
-    },
-    0);
-  if (isWithin && !IsFarOverBudget()) {
-    return true;
+      continue;
+    }
+    const auto candidate = Choose(rank);
+    if (!candidate) {
+      return false;
+    }
+    Yield(*candidate, GiveWayCause::BudgetExhausted);
   }
-  charged_ -= aBytes;
-  return false;
 }
 
 void ConnectionMemory::Unreserve(std::size_t aBytes)
--- a/src/net/JsonDocument.cpp
+++ b/src/net/JsonDocument.cpp
@@ -1,7 +1,6 @@
 #include "net/JsonDocument.h"
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,7 +37,7 @@
   }
 
   json Document() { return std::move(document_); }
-  ReserveOutcome Outcome() const { return outcome_; }
+  const Result<void>& Reserved() const { return reservation_; }
   bool IsTooDeep() const { return isTooDeep_; }
 
   // The library prescribes these names.
@@ -94,15 +93,15 @@
 private:
   bool Take(std::size_t aBytes)
   {
-    if (outcome_ != ReserveOutcome::Reserved) {
+    if (reservation_.has_error()) {
       return false;
     }
     if (aBytes > unused_ && reserve_) {
       // In growing parts, so that a large document makes few calls.
       const std::size_t wanted =
         std::max({ aBytes - unused_, reserved_ / 4, kMinReserveBytes });
-      outcome_ = reserve_(wanted);
-      if (outcome_ != ReserveOutcome::Reserved) {
+      reservation_ = TryReserve(reserve_, wanted);
+      if (reservation_.has_error()) {
         return false;
       }
       reserved_ += wanted;
@@ -150,7 +149,7 @@
   }
 
   const ReserveHook& reserve_;
-  ReserveOutcome outcome_ = ReserveOutcome::Reserved;
+  Result<void> reservation_ = outcome::success();
   bool isTooDeep_ = false;
   std::size_t reserved_ = 0;
   std::size_t unused_ = 0; //!< Part of reserved_.
@@ -165,14 +164,12 @@
 {
   Builder builder(aReserve, aText.size());
   const bool isJson =
-    builder.Outcome() == ReserveOutcome::Reserved &&
+    builder.Reserved().has_value() &&
     json::sax_parse(aText.data(), aText.data() + aText.size(), &builder);
   if (isJson) {
     return builder.Document();
   }
-  if (builder.Outcome() != ReserveOutcome::Reserved) {
-    return ReserveError(builder.Outcome());
-  }
+  BOOST_OUTCOME_TRY(builder.Reserved());
   if (builder.IsTooDeep()) {
     return Error::NotRun("parse JSON",
                          Reason::MalformedRequest,
@@ -181,16 +178,4 @@
   return json(json::value_t::discarded);
 }
 
-Error ReserveError(ReserveOutcome aOutcome)
-{
-  return aOutcome == ReserveOutcome::TooLarge
-           ? Error::NotRun("reserve memory",
-                           Reason::BodyTooLarge,
-                           "the request needs too much memory")
-           : Error::NotRun("reserve memory",
-                           Reason::TooManyWaiting,
-                           "requests hold too much memory",
-                           std::chrono::seconds(1));
-}
-
 }
--- a/src/net/JsonDocument.h
+++ b/src/net/JsonDocument.h
@@ -22,9 +22,6 @@
 Result<nlohmann::json> ParseJson(std::string_view aText,
                                  const ReserveHook& aReserve);
 
-//! The error of a request for which memory was not reserved.
-Error ReserveError(ReserveOutcome aOutcome);
-
 }
 
 #endif
--- a/src/net/MemoryReservation.cpp
+++ b/src/net/MemoryReservation.cpp
@@ -2,10 +2,29 @@
 
 #include "net/ConnectionMemory.h"
 
+#include <chrono>
 #include <utility>
 
 namespace hemlockhaven {
 
+Result<void> TryReserve(const ReserveHook& aReserve, std::size_t aBytes)
+{
+  switch (aReserve ? aReserve(aBytes) : ReserveOutcome::Reserved) {
+    case ReserveOutcome::Reserved:
+      break;
+    case ReserveOutcome::Exhausted:
+      return Error::NotRun("reserve memory",
+                           Reason::TooManyWaiting,
+                           "requests hold too much memory",
+                           std::chrono::seconds(1));
+    case ReserveOutcome::TooLarge:
+      return Error::NotRun("reserve memory",
+                           Reason::BodyTooLarge,
+                           "the request needs too much memory");
+  }
+  return outcome::success();
+}
+
 MemoryReservation::MemoryReservation(std::shared_ptr<ConnectionMemory> aMemory)
   : memory_(std::move(aMemory))
 {
--- a/src/net/MemoryReservation.h
+++ b/src/net/MemoryReservation.h
@@ -1,6 +1,8 @@
 #ifndef HEMLOCKHAVEN_SRC_NET_MEMORYRESERVATION_H
 #define HEMLOCKHAVEN_SRC_NET_MEMORYRESERVATION_H
 
+#include "hemlockhaven/core/Result.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -20,6 +22,10 @@
 //! Reserves further bytes for the request that is being handled.
 using ReserveHook = std::function<ReserveOutcome(std::size_t aBytes)>;
 
+//! Reserves by the hook; an empty one sets no bound. Errors: BodyTooLarge, and
+//! TooManyWaiting with a time to try again.
+Result<void> TryReserve(const ReserveHook& aReserve, std::size_t aBytes);
+
 //! Memory that is taken to handle a request, beside what its connection holds.
 //! It is part of the budget of all connections until the object ends. Not
 //! thread-safe.
