--- a/fuzz/http/main.cpp
+++ b/fuzz/http/main.cpp
@@ -102,7 +102,8 @@
     sample.fields.emplace_back("f" + std::to_string(i),
                                "v" + aMaker.Text(12, kLetters) + "v");
     const auto& [name, value] = sample.fields.back();
-    sample.bytes += name + ":" + aMaker.Text(2, " \t") + value + "\r\n";
+    sample.bytes.append(name).append(":").append(aMaker.Text(2, " \t"));
+    sample.bytes.append(value).append("\r\n");
   }
   sample.body = aMaker.Text(aMaker.Below(2) * 3000 + 20, kLetters);
   if (aMaker.Below(2) == 0) {
@@ -114,8 +115,9 @@
   for (std::size_t at = 0; at < sample.body.size();) {
     const std::string chunk =
       sample.body.substr(at, 1 + aMaker.Below(aMaker.Below(2) * 1000 + 2));
-    sample.bytes += Hex(chunk.size()) + (aMaker.Below(4) == 0 ? ";e=1" : "") +
-                    "\r\n" + chunk + "\r\n";
+    sample.bytes.append(Hex(chunk.size()));
+    sample.bytes.append(aMaker.Below(4) == 0 ? ";e=1\r\n" : "\r\n");
+    sample.bytes.append(chunk).append("\r\n");
     at += chunk.size();
   }
   sample.bytes += "0\r\n";
