--- a/tests/adapter/RecordsTest.cpp
+++ b/tests/adapter/RecordsTest.cpp
@@ -225,6 +225,25 @@
   { "reading past the end of a record", R"({"sequence":)", "{", false },
 };
 
+//! A record that consists of one text again and again.
+struct RepeatedRow
+{
+  const char* guardsAgainst;
+  std::string_view text;
+  std::string_view kept;
+};
+
+constexpr RepeatedRow kRepeatedRows[] = {
+  { "searching the rest for a key that never occurs",
+    R"({"sequence":12,"op":"put"},)",
+    R"({"sequence":,"op":"put"},)" },
+  { "searching the rest at each key without a value",
+    R"("clock_ms":)",
+    R"("clock_ms":)" },
+  { "searching the rest at each quote", R"("")", R"("")" },
+  { "searching the rest at each start of a key", R"("seq)", R"("seq)" },
+};
+
 KeyedRecord Record(const char* aKey, const std::string& aValue)
 {
   return { aKey, aValue };
@@ -257,6 +276,22 @@
   }
 }
 
+//! The cost of filtering a record must not grow with the square of its size.
+//! At this size a quadratic filter would take hours.
+TEST(Records, FiltersLargeRecordsOfOtherWriters)
+{
+  constexpr std::size_t kBytes = std::size_t{ 8 } << 20U;
+  for (const RepeatedRow& row : kRepeatedRows) {
+    std::string record;
+    std::string expected;
+    while (record.size() < kBytes) {
+      record += row.text;
+      expected += row.kept;
+    }
+    CHECK_TEXT(WithoutVolatileFields(record) == expected, row.guardsAgainst);
+  }
+}
+
 TEST(Records, DecodesConfiguration)
 {
   const auto decoded = DecodeConfiguration(
