Send a start only to the incarnation of the endpoint that it was chosen for

A start named only the endpoint's id and address, and went to any process that answered there until the leader had noticed the restart.

A start now names the incarnation of the last reply, and the client sends it only on a connection on which that incarnation has answered; on one that has not told yet, a poll without a wait goes first. An incarnation ends with its connections, so that no later one can get the start.

--- a/include/hemlockhaven/scheduler/Effects.h
+++ b/include/hemlockhaven/scheduler/Effects.h
@@ -30,6 +30,9 @@
   std::string payload;
   //! Not started after this; endpoint's clock.
   std::int64_t deadlineClockMs = 0;
+  //! Sent to this incarnation of the endpoint only, since it was chosen by its
+  //! labels and capacity; start time, Unix ms. 0: the endpoint names none.
+  std::int64_t incarnationStartMs = 0;
 };
 
 //! Stops a run.
--- a/src/net/HttpClientConnection.cpp
+++ b/src/net/HttpClientConnection.cpp
@@ -23,21 +23,38 @@
 
 //! Encodes a request without Beast's serializer, which costs more than the rest
 //! of the request.
-std::string EncodeRequest(const HttpRequest& aRequest)
+std::string EncodeRequest(const HttpRequest& aRequest,
+                          std::string_view aMethod,
+                          std::string_view aTarget,
+                          std::string_view aBody)
 {
   std::string bytes;
-  bytes.reserve(160 + aRequest.target.size() + aRequest.body.size());
-  bytes.append(aRequest.method).append(" ").append(aRequest.target);
+  bytes.reserve(160 + aTarget.size() + aBody.size());
+  bytes.append(aMethod).append(" ").append(aTarget);
   bytes.append(" HTTP/1.1\r\nHost: ").append(aRequest.address).append("\r\n");
   for (const auto& [name, value] : aRequest.headers) {
     bytes.append(name).append(": ").append(value).append("\r\n");
   }
-  if (aRequest.method != "GET") {
+  if (aMethod != "GET") {
     bytes.append("Content-Type: ").append(aRequest.contentType);
     bytes.append("\r\nContent-Length: ");
-    bytes.append(std::to_string(aRequest.body.size())).append("\r\n");
+    bytes.append(std::to_string(aBody.size())).append("\r\n");
   }
-  return bytes.append("\r\n").append(aRequest.body);
+  return bytes.append("\r\n").append(aBody);
+}
+
+std::string EncodeRequest(const HttpRequest& aRequest)
+{
+  return EncodeRequest(
+    aRequest, aRequest.method, aRequest.target, aRequest.body);
+}
+
+std::string EncodeIdentification(const HttpRequest& aRequest)
+{
+  return EncodeRequest(aRequest,
+                       "POST",
+                       aRequest.incarnationCheck->target,
+                       aRequest.incarnationCheck->body);
 }
 
 }
@@ -91,20 +108,15 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     currentRequest_ = std::move(aRequest);
     callback_ = std::move(aCallback);
-    requestBytes_ = EncodeRequest(currentRequest_);
     deadline_ = TransferDeadline(
       currentRequest_.timeout, currentRequest_.stallTimeout, SteadyNow());
     isBusy_ = true;
-    written_ = 0;
-    parser_.emplace();
-    parser_->body_limit(maxResponseBytes_);
-    // Parses a response that is buffered whole in one call.
-    parser_->eager(true);
+    isIdentifying_ = currentRequest_.incarnationCheck.has_value();
     ArmTimer();
-    if (connected_) {
-      Write();
+    if (isIdentifying_ && incarnation_ != 0) {
+      OnIdentified(true);
     } else {
-      Connect();
+      BeginSending();
     }
     end = std::exchange(end_, std::nullopt);
   }
@@ -117,6 +129,42 @@
   }
 }
 
+void HttpClientConnection::BeginSending()
+{
+  requestBytes_ = isIdentifying_ ? EncodeIdentification(currentRequest_)
+                                 : EncodeRequest(currentRequest_);
+  written_ = 0;
+  parser_.emplace();
+  parser_->body_limit(maxResponseBytes_);
+  // Parses a response that is buffered whole in one call.
+  parser_->eager(true);
+  if (connected_) {
+    Write();
+  } else {
+    Connect();
+  }
+}
+
+void HttpClientConnection::OnIdentified(bool aIsReusable)
+{
+  const std::int64_t expected = currentRequest_.incarnationCheck->expected;
+  if (incarnation_ == expected && aIsReusable) {
+    isIdentifying_ = false;
+    BeginSending();
+    return;
+  }
+  HttpResult result;
+  if (incarnation_ != 0 && incarnation_ != expected) {
+    result.end = HttpOutcome::OtherIncarnation;
+    result.detail = "another incarnation of the server";
+  } else {
+    result.end = HttpOutcome::NotSent;
+    result.detail = incarnation_ == 0 ? "the server names no incarnation"
+                                      : "closed after the identification";
+  }
+  Finish(std::move(result), aIsReusable);
+}
+
 void HttpClientConnection::Connect()
 {
   const auto endpoint = ParseAddress(address_);
@@ -278,14 +326,22 @@
   result.status = message.result_int();
   result.receivedBytes = message.body().size();
   result.body = std::move(message.body());
-  Finish(std::move(result),
-         isFramed && message.keep_alive() && buffer_.size() == 0);
+  const bool isReusable =
+    isFramed && message.keep_alive() && buffer_.size() == 0;
+  if (incarnation_ == 0 && isFramed && currentRequest_.readIncarnation) {
+    incarnation_ = currentRequest_.readIncarnation(result);
+  }
+  if (isIdentifying_) {
+    OnIdentified(isReusable);
+  } else {
+    Finish(std::move(result), isReusable);
+  }
 }
 
 void HttpClientConnection::Fail(HttpOutcome aOutcome, std::string aDetail)
 {
   HttpResult result;
-  result.end = aOutcome;
+  result.end = isIdentifying_ ? HttpOutcome::NotSent : aOutcome;
   result.detail = std::move(aDetail);
   result.receivedBytes = parser_ ? parser_->get().body().size() : 0;
   Finish(std::move(result), false);
@@ -295,6 +351,7 @@
 {
   requestBytes_.clear();
   isBusy_ = false;
+  isIdentifying_ = false;
   if (aKeepAlive) {
     idleSince_ = SteadyNow();
   } else {
@@ -325,6 +382,7 @@
   socket_.close(ignored);
   timer_.cancel();
   connected_ = false;
+  incarnation_ = 0;
 }
 
 }
--- a/src/net/HttpClientConnection.h
+++ b/src/net/HttpClientConnection.h
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -88,6 +89,10 @@
   void Parse();
   void OnEndOfStream();
   void OnResponse();
+  //! Begins to send the current request, or the one that identifies the server.
+  void BeginSending();
+  //! Sends the current request if the server is the expected incarnation.
+  void OnIdentified(bool aIsReusable);
   void Finish(HttpResult aResult, bool aKeepAlive);
   void CloseSocket();
   void Fail(HttpOutcome aOutcome, std::string aDetail);
@@ -106,6 +111,8 @@
   std::size_t written_ = 0;  //!< Of requestBytes_.
   HttpRequest currentRequest_;
   HttpCallback callback_;
+  std::int64_t incarnation_ = 0; //!< Of the server; 0: not named yet.
+  bool isIdentifying_ = false;   //!< The current request is not sent yet.
   bool connected_ = false;
   bool isBusy_ = false;    //!< From Start to Finish.
   std::optional<End> end_; //!< Not reported yet.
--- a/src/scheduler/SchedulerDispatch.cpp
+++ b/src/scheduler/SchedulerDispatch.cpp
@@ -277,6 +277,7 @@
   command.run = { { aEntry.Spec().id, aTask.step, aTask.index }, aTask.run };
   command.payload = aEntry.Spec().payload;
   command.deadlineClockMs = deadline;
+  command.incarnationStartMs = aEndpoint.incarnationStartMs;
   aEffects.starts.push_back(std::move(command));
 }
 
--- a/tests/scheduler/IncarnationTest.cpp
+++ b/tests/scheduler/IncarnationTest.cpp
@@ -38,6 +38,12 @@
       aScheduler.Run(500);
     },
     0 },
+  { "starts by the last reply of an endpoint that has restarted since",
+    [](ManualScheduler& aScheduler) {
+      aScheduler.SetListedIncarnation(0, 1);
+      aScheduler.RestartEndpoint(0, 2);
+    },
+    0 },
   { "starts by a record whose incarnation has not replied yet",
     [](ManualScheduler& aScheduler) {
       aScheduler.SetListedIncarnation(0, 1);
--- a/tests/support/ManualScheduler.cpp
+++ b/tests/support/ManualScheduler.cpp
@@ -161,9 +161,7 @@
     return;
   }
   PollReport report;
-  const auto incarnation = incarnations_.find(name);
-  report.incarnationStartMs =
-    incarnation == incarnations_.end() ? 1 : incarnation->second;
+  report.incarnationStartMs = IncarnationOf(name);
   report.clockMs = ClockMs();
   report.running = running_[name];
   report.ended = ended_[name];
@@ -177,6 +175,12 @@
     stopEndpoints.push_back(stop.target.endpoint);
   }
   for (const StartCommand& start : aEffects.starts) {
+    if (start.incarnationStartMs != 0 &&
+        start.incarnationStartMs != IncarnationOf(start.target.endpoint)) {
+      Apply(scheduler_.OnStartReply(start,
+                                    { CommandOutcome::WrongIncarnation, 0 }));
+      continue;
+    }
     starts.push_back(start.run.task.workId);
     startEndpoints.push_back(start.target.endpoint);
     if (startsUnanswered_.count(start.target.endpoint) > 0) {
@@ -205,6 +209,12 @@
   }
 }
 
+std::int64_t ManualScheduler::IncarnationOf(const std::string& aEndpoint) const
+{
+  const auto incarnation = incarnations_.find(aEndpoint);
+  return incarnation == incarnations_.end() ? 1 : incarnation->second;
+}
+
 std::int64_t ManualScheduler::ClockMs() const
 {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/tests/support/ManualScheduler.h
+++ b/tests/support/ManualScheduler.h
@@ -53,7 +53,9 @@
   void AnswerPoll(std::size_t aEndpoint);
 
   std::int64_t callerTimeoutMs = 30000; //!< Of work that is submitted next.
-  std::vector<std::string> starts;      //!< Ids of the started work, in order.
+  //! Ids of the started work, in order, without starts that were meant for
+  //! another incarnation of their endpoint.
+  std::vector<std::string> starts;
   std::vector<std::string> startEndpoints; //!< Where, in the same order.
   std::vector<std::string> refused;        //!< Reasons, in order.
   std::vector<std::string> stops;
@@ -71,6 +73,7 @@
 private:
   void Apply(const SchedulerEffects& aEffects);
   std::int64_t ClockMs() const;
+  std::int64_t IncarnationOf(const std::string& aEndpoint) const;
 
   TimePoint now_{ std::chrono::hours(1) };
   Scheduler scheduler_;
