Let leaders announce themselves in the platform's store

A daemon knew others by its settings only, and one that has heard nobody is a majority of one.

A leader now writes its address to a topic of the store, at the start of its leadership and every 10 s; leaders and daemons that are alone read that topic and use what they find as seeds. Every group has a leader, so that groups meet.

system.StaleSeeds failed before (three leaders for 60 s) and holds now.

--- a/include/hemlockhaven/coordinator/Coordinator.h
+++ b/include/hemlockhaven/coordinator/Coordinator.h
@@ -92,6 +92,12 @@
   }
   //! Returns whether any other daemon is alive.
   bool HasAliveMembers() const { return election_.AliveMemberCount() > 0; }
+  //! Returns whether none is alive after the time in which daemons that started
+  //! together discover each other.
+  bool IsAlone() const
+  {
+    return !HasAliveMembers() && !election_.IsDiscovering();
+  }
   void OnHeartbeat(const Heartbeat& aHeartbeat);
   void OnLinkLost(std::string_view aMember);
   void OnWork(std::string_view aEntryVm, Work aWork);
--- a/soak/StoreStandIn.cpp
+++ b/soak/StoreStandIn.cpp
@@ -2,6 +2,7 @@
 
 #include "net/HttpRequestView.h"
 #include "platform/Protocol.h"
+#include "platform/StoreClient.h"
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
 #include <boost/archive/iterators/transform_width.hpp>
@@ -76,7 +77,7 @@
 {
   switch (mode_) {
     case Mode::Up:
-      Serve(aRequest.target, aReply);
+      Serve(aRequest.target, aRequest.body, aReply);
       break;
     case Mode::Down: {
       OutgoingReply reply;
@@ -92,9 +93,10 @@
       timer->async_wait([this,
                          timer,
                          target = std::string(aRequest.target),
+                         body = std::string(aRequest.body),
                          reply = std::move(aReply)](const auto& aError) {
         if (!aError) {
-          Serve(target, reply);
+          Serve(target, body, reply);
         }
       });
       break;
@@ -103,12 +105,40 @@
   return nullptr;
 }
 
-void StoreStandIn::Serve(std::string_view aTarget, const ReplyHook& aReply)
+void StoreStandIn::Append(const std::string& aTopic,
+                          std::string_view aBody,
+                          const ReplyHook& aReply)
+{
+  // The body of an append is that of a read without the two offsets.
+  const auto read =
+    Platform::Detail::DecodeRecords(std::string(16, '\0').append(aBody), 0);
+  OutgoingReply reply;
+  if (read) {
+    for (const Platform::KeyedRecord& record : read->records) {
+      Put(aTopic, record.key, record.value.value_or(""));
+    }
+    const std::size_t end = topics_[aTopic].records.size();
+    reply.body =
+      json{ { "offset", end - read->records.size() }, { "end", end } }.dump();
+  } else {
+    reply.status = 400;
+  }
+  aReply(std::move(reply));
+}
+
+void StoreStandIn::Serve(std::string_view aTarget,
+                         std::string_view aBody,
+                         const ReplyHook& aReply)
 {
   const std::size_t mark = std::min(aTarget.find('?'), aTarget.size());
   const std::string_view path = aTarget.substr(0, mark);
   const std::string query(aTarget.substr(std::min(mark + 1, aTarget.size())));
-  Topic& topic = topics_[QueryText(query, "topic").value_or("")];
+  const std::string name = QueryText(query, "topic").value_or("");
+  if (path == Platform::Protocol::kLogAppendPath) {
+    Append(name, aBody, aReply);
+    return;
+  }
+  Topic& topic = topics_[name];
   if (path == Platform::Protocol::kLogNewestPath) {
     json items = json::array();
     for (const auto& [key, value] : topic.newest) {
--- a/soak/StoreStandIn.h
+++ b/soak/StoreStandIn.h
@@ -14,7 +14,7 @@
 
 namespace hemlockhaven::Soak {
 
-//! The platform's store as far as daemons read it: keyed topics.
+//! The platform's store as far as daemons use it: keyed topics.
 class StoreStandIn
 {
 public:
@@ -48,7 +48,13 @@
   };
 
   DisconnectHook Handle(const IncomingRequest& aRequest, ReplyHook aReply);
-  void Serve(std::string_view aTarget, const ReplyHook& aReply);
+  void Serve(std::string_view aTarget,
+             std::string_view aBody,
+             const ReplyHook& aReply);
+  //! Puts the records of an append.
+  void Append(const std::string& aTopic,
+              std::string_view aBody,
+              const ReplyHook& aReply);
   static void ReadFrom(const Topic& aTopic,
                        std::uint64_t aFrom,
                        const ReplyHook& aReply);
--- a/tests/adapter/RecordsTest.cpp
+++ b/tests/adapter/RecordsTest.cpp
@@ -225,6 +225,30 @@
   { "reading past the end of a record", R"({"sequence":)", "{", false },
 };
 
+struct AnnouncementRow
+{
+  const char* guardsAgainst;
+  std::string_view json;
+  bool isValid;
+};
+
+constexpr AnnouncementRow kAnnouncementRows[] = {
+  { "leaving out a leader that can be reached",
+    R"({"name":"a","address":"10.0.0.9:7720","announced_ms":1})",
+    true },
+  { "connecting to an address that is none",
+    R"({"name":"a","address":"10.0.0.9","announced_ms":1})",
+    false },
+  { "connecting to an address that no other VM has",
+    R"({"name":"a","address":"0.0.0.0:7720","announced_ms":1})",
+    false },
+  { "an announcement that never expires",
+    R"({"name":"a","address":"10.0.0.9:7720","announced_ms":1e300})",
+    false },
+  { "reading a field that is missing", R"({"name":"a"})", false },
+  { "reading a record of another writer", "[]", false },
+};
+
 //! A record that consists of one text again and again.
 struct RepeatedRow
 {
@@ -276,6 +300,34 @@
   }
 }
 
+TEST(Records, DecodesAnnouncementsOfLeaders)
+{
+  for (const AnnouncementRow& row : kAnnouncementRows) {
+    CHECK_EQUAL_TEXT(
+      row.isValid, DecodeAnnouncement(row.json).has_value(), row.guardsAgainst);
+  }
+  const auto decoded = DecodeAnnouncement(
+    EncodeAnnouncement({ "vm-1", "10.0.0.9:7720", 1700000000000 }));
+  CHECK(decoded.has_value());
+  STRCMP_EQUAL("vm-1", decoded.value().name.c_str());
+  STRCMP_EQUAL("10.0.0.9:7720", decoded.value().address.c_str());
+  CHECK(decoded.value().announcedAtMs == 1700000000000);
+}
+
+TEST(Records, AppendedRecordsAreReadAsTheyWere)
+{
+  const std::string large(70000, 'v');
+  for (const std::string& value : { std::string("v"), large, std::string() }) {
+    const std::string body = Platform::Detail::EncodeRecord({ "key", value });
+    const auto read =
+      Platform::Detail::DecodeRecords(std::string(16, '\0') + body, 0);
+    CHECK(read.has_value());
+    LONGS_EQUAL(1, read->records.size());
+    STRCMP_EQUAL("key", read->records[0].key.c_str());
+    CHECK(read->records[0].value.value_or("") == value);
+  }
+}
+
 //! The cost of filtering a record must not grow with the square of its size.
 //! At this size a quadratic filter would take hours.
 TEST(Records, FiltersLargeRecordsOfOtherWriters)
--- a/tests/system/ConfiguredStore.h
+++ b/tests/system/ConfiguredStore.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <string>
 #include <thread>
 
 namespace hemlockhaven::Testing {
@@ -22,6 +23,9 @@
   ConfiguredStore(const ConfiguredStore&) = delete;
   ConfiguredStore& operator=(const ConfiguredStore&) = delete;
 
+  //! Lists an endpoint at an address where nothing listens.
+  void ListEndpoint(const std::string& aId, const std::string& aAddress);
+
 private:
   boost::asio::io_context context_{ 1 };
   Soak::StoreStandIn store_;
