--- a/src/leadership/LeaderDirectory.cpp
+++ b/src/leadership/LeaderDirectory.cpp
@@ -58,7 +58,9 @@
   if (aAnnouncement.address == address_) {
     return;
   }
-  announcedAtMs_[aAnnouncement.address] = aAnnouncement.announcedAtMs;
+  // One from the future would be kept longer, or for good.
+  announcedAtMs_[aAnnouncement.address] =
+    std::min(aAnnouncement.announcedAtMs, wallClock_());
   if (announcedAtMs_.size() <= parameters_.slots) {
     return;
   }
--- a/tests/leadership/LeaderDirectoryTest.cpp
+++ b/tests/leadership/LeaderDirectoryTest.cpp
@@ -113,6 +113,12 @@
       aFixture.Run(36000, false);
     },
     {} },
+  { "looking for good for a leader whose announcement is from the future",
+    [](Fixture& aFixture) {
+      aFixture.Learn("10.0.0.2:7720", -3600000);
+      aFixture.Run(36000, false);
+    },
+    {} },
   { "a leader whose wall clock is behind or ahead",
     [](Fixture& aFixture) {
       aFixture.Learn("10.0.0.2:7720", 15000);
