Take back a term that ends in the call that began it

A fenced leader that knew a higher token and had no majority began a term and stepped down in the same call of LeaderElection::OnFenced. The effects told of both, and the coordinator applies the end first: its schedulers led on without the election and polled all endpoints every 30 ms.

Stepping down now takes back such a term. The new test of leadership.LeaderElection failed before.

--- a/src/leadership/LeaderElection.cpp
+++ b/src/leadership/LeaderElection.cpp
@@ -351,6 +351,9 @@
 {
   token_ = 0;
   retakeAt_.reset();
+  // A term that the same call began is over before anyone has learned of it.
+  aEffects.termToken.reset();
+  aEffects.termReason.clear();
   aEffects.stepDownReason = std::string(aReason);
   if (leader_ == self_.name) {
     SetLeader("", aEffects);
--- a/tests/leadership/LeaderElectionTest.cpp
+++ b/tests/leadership/LeaderElectionTest.cpp
@@ -55,6 +55,9 @@
     }
   }
 
+  //! Lets time pass without a tick.
+  void Pass(std::int64_t aMilliseconds) { now_ += Ms(aMilliseconds); }
+
   //! Adds a member whose heartbeat arrives at each step, or replaces it.
   void HearFrom(const std::string& aName, double aCores, std::uint64_t aToken)
   {
@@ -701,3 +704,23 @@
     CHECK_TEXT(harness.Election().IsLost("m1"), row.guardsAgainst);
   }
 }
+
+//! A leader without a majority that is fenced when a higher token of its own is
+//! due. Its schedulers would lead on, though the election does not.
+TEST(LeaderElection, ReportsNoTermThatEndedInTheSameCall)
+{
+  ElectionHarness harness;
+  harness.Advance(1000);
+  harness.membersEcho = false;
+  harness.HearFromSmallerMembers(2);
+  for (int raise = 0; raise < 2; ++raise) {
+    harness.RaiseTokens();
+    harness.Advance(25);
+  }
+  CHECK(harness.Election().IsLeading());
+  harness.Pass(50);
+  const ElectionEffects effects = harness.Election().OnFenced();
+  CHECK_FALSE(harness.Election().IsLeading());
+  CHECK(effects.stepDownReason.has_value());
+  CHECK_FALSE(effects.termToken.has_value());
+}
